--- /dev/null
+++ b/azurewick/__init__.py
@@ -0,0 +1,1 @@
+"""Request scheduler for backend servers of unlike speed."""
--- /dev/null
+++ b/azurewick/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control: queues, floors and limits."""
--- /dev/null
+++ b/azurewick/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent role: queues and dispatches requests to one backend server."""
--- /dev/null
+++ b/azurewick/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that keep non-repeatable requests to one run."""
--- /dev/null
+++ b/azurewick/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool for operators."""
--- /dev/null
+++ b/azurewick/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration of the fleet: classes, pools and customers."""
--- /dev/null
+++ b/azurewick/const.py
@@ -0,0 +1,40 @@
+"""Constants shared by the packages."""
+
+from __future__ import annotations
+
+from typing import Final
+
+HEADER_CLAIM_REPLAYED: Final = "X-Azurewick-Replayed"
+HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
+HEADER_LOAD: Final = "X-Azurewick-Load"
+HEADER_OFFER: Final = "X-Azurewick-Offer"
+HEADER_OUTCOME: Final = "X-Azurewick-Outcome"
+HEADER_REQUEST_CLASS: Final = "X-Request-Class"
+HEADER_REQUEST_ID: Final = "X-Request-Id"
+HEADER_RETRY_AFTER: Final = "Retry-After"
+
+PATH_AGENT_CANCEL: Final = "/v1/cancel"
+PATH_AGENT_DISPATCH: Final = "/v1/dispatch"
+PATH_CHAT_COMPLETIONS: Final = "/v1/chat/completions"
+PATH_HEALTH: Final = "/health"
+PATH_READY: Final = "/ready"
+PREFIX_SERVICES: Final = "/services/"
+
+# Tier 0 is the highest; a larger number is a lower tier.
+HIGHEST_TIER: Final = 0
+LOWEST_TIER: Final = 9
+
+MAX_BODY_BYTES: Final = 1_048_576
+MAX_HEADER_BYTES: Final = 16_384
+MAX_HEADER_FIELDS: Final = 64
+
+# A permit to dispatch lower tiers lasts this long after the last contact
+# with a relay; a silent agent can't dispatch them after it.
+PERMIT_DURATION_S: Final = 5.0
+# The admission floor stays this long after its last renewal. The hysteresis
+# keeps lower tiers from returning between two waves of higher-tier work.
+ADMISSION_FLOOR_HOLD_S: Final = 5.0
+SYNC_INTERVAL_S: Final = 2.0
+# Three missed probes, one a second, show a lost peer within a few seconds.
+PROBE_INTERVAL_S: Final = 1.0
+PROBE_FAILURES_UNTIL_LEAVING: Final = 3
--- /dev/null
+++ b/azurewick/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control protocol between the daemons."""
--- /dev/null
+++ b/azurewick/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway role: accepts requests and offers them to agents."""
--- /dev/null
+++ b/azurewick/gateway/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Filter chain of the gateway."""
--- /dev/null
+++ b/azurewick/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the packages."""
--- /dev/null
+++ b/azurewick/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers for controllers."""
--- /dev/null
+++ b/azurewick/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of gateways, agents and backend servers."""
--- /dev/null
+++ b/azurewick/platform/protocols.py
@@ -0,0 +1,83 @@
+"""Interface of the platform's object store."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+from typing import Any
+from typing import Protocol
+
+
+class EventType(StrEnum):
+    """Type of a watch event."""
+
+    ADDED = "ADDED"
+    MODIFIED = "MODIFIED"
+    DELETED = "DELETED"
+    BOOKMARK = "BOOKMARK"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoredObject:
+    """Object in the store; version grows with each write in the store."""
+
+    plural: str
+    name: str
+    version: int
+    spec: dict[str, Any] = field(default_factory=dict)
+    status: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ObjectList:
+    """Objects of one plural at one version of the store."""
+
+    version: int
+    items: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WatchEvent:
+    """Change of an object; a bookmark carries only the version."""
+
+    type: EventType
+    version: int
+    object: StoredObject | None = None
+
+
+class ObjectStore(Protocol):
+    """Versioned objects with conditional updates and watches.
+
+    Each method raises AzurewickError: store_unavailable with outcome
+    unknown when the answer to a write is lost and not_run when it was never
+    sent; store_conflict; store_not_found; store_rate_limited;
+    store_watch_expired.
+    """
+
+    async def async_get(self, plural: str, name: str) -> StoredObject:
+        """Return an object."""
+
+    async def async_list(self, plural: str) -> ObjectList:
+        """Return all objects of a plural."""
+
+    async def async_create(
+        self,
+        plural: str,
+        name: str,
+        spec: dict[str, Any],
+        status: dict[str, Any] | None = None,
+    ) -> StoredObject:
+        """Create an object; store_conflict when it exists."""
+
+    async def async_update(self, item: StoredObject) -> StoredObject:
+        """Write an object if its version is still the one in the store."""
+
+    async def async_delete(self, item: StoredObject) -> None:
+        """Delete an object if its version is still the one in the store."""
+
+    def async_watch(
+        self, plural: str, after_version: int, timeout_s: float
+    ) -> AsyncIterator[WatchEvent]:
+        """Yield changes after a version until the time-out."""
--- /dev/null
+++ b/azurewick/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of requests that crash backend servers."""
--- /dev/null
+++ b/azurewick/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of traffic to new backend server versions."""
--- /dev/null
+++ b/azurewick/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server for a request."""
--- /dev/null
+++ b/azurewick/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemons."""
--- /dev/null
+++ b/azurewick/util/__init__.py
@@ -0,0 +1,1 @@
+"""Pure utilities."""
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks in virtual time."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of azurewick with stand-ins on loopback."""
--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems at azurewick's interfaces."""
