--- /dev/null
+++ b/azurewick/agent/control_api.py
@@ -0,0 +1,131 @@
+"""Control port of the agent: floor, orders and probes over grpclib."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from azurewick.agent.dispatcher import Dispatcher
+from azurewick.agent.orders import AgentOrder
+from azurewick.agent.orders import FencingGate
+from azurewick.agent.orders import OrderAuthenticator
+from azurewick.const import LOWEST_TIER
+from azurewick.control.control_grpc import AgentControlBase
+from azurewick.control.control_pb2 import AdmissionFloorReply
+from azurewick.control.control_pb2 import Load
+from azurewick.control.control_pb2 import OrderReply
+from azurewick.control.control_pb2 import ProbeReply
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.helpers.clock import wall_clock_s
+from azurewick.models import LoadReport
+
+MAX_FLOOR_HOLD_S = 60.0
+
+
+def build_load(report: LoadReport) -> Load:
+    """Return the message of a load report."""
+    return Load(
+        backend_server=report.backend_server,
+        incarnation=report.incarnation,
+        version=report.version,
+        running=report.running,
+        queued=report.queued,
+        queued_work_s=report.queued_work_s,
+        batch_limit=report.batch_limit,
+        prefill_tokens_per_s=report.prefill_tokens_per_s,
+        decode_tokens_per_s=report.decode_tokens_per_s,
+        floor_tier=report.floor_tier,
+        draining=report.draining,
+        age_ms=round(report.age_s * 1000),
+    )
+
+
+class ControlApi(AgentControlBase):
+    """Handlers of the control port.
+
+    async_obey carries out an accepted order and raises AzurewickError when
+    it can't.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        dispatcher: Dispatcher,
+        gate: FencingGate,
+        authenticator: OrderAuthenticator,
+        report: Callable[[], LoadReport],
+        async_obey: Callable[[AgentOrder], Awaitable[None]],
+    ) -> None:
+        self._pool = pool
+        self._dispatcher = dispatcher
+        self._gate = gate
+        self._authenticator = authenticator
+        self._report = report
+        self._async_obey = async_obey
+
+    async def SetAdmissionFloor(self, stream: Any) -> None:
+        """Set the floor; another pool's floor changes nothing."""
+        request = await stream.recv_message()
+        dispatcher = self._dispatcher
+        if request.pool == self._pool:
+            floor_tier = await dispatcher.async_set_floor(
+                min(request.floor_tier, LOWEST_TIER),
+                min(request.hold_ms / 1000, MAX_FLOOR_HOLD_S),
+            )
+        else:
+            floor_tier = self._report().floor_tier
+        await stream.send_message(
+            AdmissionFloorReply(
+                floor_tier=floor_tier, incarnation=dispatcher.incarnation
+            )
+        )
+
+    async def Probe(self, stream: Any) -> None:
+        """Answer with readiness and load; renews the permit."""
+        await stream.recv_message()
+        self._dispatcher.record_contact()
+        await stream.send_message(
+            ProbeReply(
+                incarnation=self._dispatcher.incarnation,
+                ready=self._dispatcher.is_ready,
+                load=build_load(self._report()),
+            )
+        )
+
+    async def Order(self, stream: Any) -> None:
+        """Check an order and obey it."""
+        request = await stream.recv_message()
+        order = AgentOrder(
+            order_id=request.order_id,
+            lease=request.lease,
+            fencing_number=request.fencing_number,
+            action=request.action,
+            version=request.version,
+            key_id=request.key_id,
+            issued_at_s=request.issued_at_s,
+            signature=request.signature,
+        )
+        try:
+            await self._async_order(order)
+        except AzurewickError as err:
+            reply = OrderReply(
+                accepted=False, code=err.code.value, message=err.message
+            )
+        else:
+            reply = OrderReply(accepted=True)
+        await stream.send_message(reply)
+
+    async def _async_order(self, order: AgentOrder) -> None:
+        self._authenticator.verify(order, wall_clock_s())
+        if order.action not in ("drain", "resume", "load_version"):
+            raise AzurewickError(
+                ErrorCode.INVALID_REQUEST,
+                f"no order {order.action!r}; orders are drain, resume and"
+                " load_version",
+                step=Step.ORDER,
+            )
+        await self._gate.async_check(order.lease, order.fencing_number)
+        await self._async_obey(order)
--- /dev/null
+++ b/azurewick/agent/dispatcher.py
@@ -0,0 +1,315 @@
+"""Dispatcher: decides when a request goes to the backend server."""
+
+from __future__ import annotations
+
+from asyncio import Event
+from asyncio import Future
+from asyncio import get_running_loop
+from asyncio import TimerHandle
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+
+from azurewick.agent.interfaces import ConcurrencyLimit
+from azurewick.agent.interfaces import Floor
+from azurewick.agent.interfaces import QueuedRequest
+from azurewick.agent.interfaces import RequestQueue
+from azurewick.agent.ledger import DispatchLedger
+from azurewick.agent.ledger import LedgerState
+from azurewick.agent.rates import LearnedRates
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
+from azurewick.errors import Step
+from azurewick.models import Offer
+
+RETRY_DISPLACED_S = 1.0
+
+
+@dataclass(kw_only=True, slots=True)
+class Slot:
+    """Permission to run one request; cancel stops a running one."""
+
+    offer: Offer
+    ran: bool = False
+    sent: Event = field(default_factory=Event)
+    cancel: Callable[[], object] | None = None
+
+
+@dataclass(kw_only=True, slots=True)
+class _Waiter:
+    offer: Offer
+    item: QueuedRequest
+    granted: Future[Slot]
+    timer: TimerHandle | None = None
+
+
+@dataclass(kw_only=True, slots=True)
+class DispatcherState:
+    """Conditions under which the agent takes no work."""
+
+    draining: bool = False
+    healthy: bool = False
+
+
+@dataclass(kw_only=True)
+class Dispatcher:
+    """Queue by tier, concurrency limit, expiry, cancellation and drain.
+
+    clock returns monotonic seconds.
+    """
+
+    name: str
+    incarnation: str
+    queue: RequestQueue
+    floor: Floor
+    limit: ConcurrencyLimit
+    ledger: DispatchLedger
+    rates: LearnedRates
+    clock: Callable[[], float]
+    state: DispatcherState = field(default_factory=DispatcherState)
+    _waiters: dict[str, _Waiter] = field(default_factory=dict)
+    _running: dict[str, Slot] = field(default_factory=dict)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run at the backend server."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiters)
+
+    @property
+    def queued_work_s(self) -> float:
+        """Return the time the queue needs at the learned rates."""
+        work_s = sum(waiter.item.work_s for waiter in self._waiters.values())
+        return work_s / max(1, self.limit.limit)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new work is taken."""
+        return self.state.healthy and not self.state.draining
+
+    def check(self, offer: Offer) -> None:
+        """Refuse an offer that can't be dispatched now or later.
+
+        Raises AzurewickError with outcome not_run.
+        """
+        now_s = self.clock()
+        if offer.incarnation not in ("", self.incarnation):
+            raise self._error(
+                ErrorCode.WRONG_INCARNATION,
+                f"the agent's incarnation is {self.incarnation}",
+            )
+        if self.state.draining:
+            raise self._error(ErrorCode.DRAINING, "the agent is draining")
+        if not self.state.healthy:
+            raise self._error(
+                ErrorCode.NOT_READY, "the backend server is not healthy"
+            )
+        if offer.tier > self.floor.current(now_s):
+            raise self._displaced()
+        if offer.budget_s is not None and offer.budget_s <= 0:
+            raise self._expired()
+
+    async def async_acquire(self, offer: Offer) -> Slot:
+        """Wait for the turn of an offer and return its slot.
+
+        Raises AzurewickError with the reason of the refusal. A cancelled
+        wait leaves nothing behind: the request surely was not dispatched.
+        """
+        self.check(offer)
+        now_s = self.clock()
+        self.ledger.admit(offer.request_id, now_s)
+        waiter = self._enqueue(offer, now_s)
+        self.pump()
+        try:
+            return await waiter.granted
+        except BaseException:
+            self._abandon(waiter)
+            raise
+
+    def release(self, slot: Slot) -> None:
+        """Give a slot back after the run."""
+        request_id = slot.offer.request_id
+        slot.sent.set()
+        if self._running.pop(request_id, None) is None:
+            return
+        self.ledger.finish(request_id, ran=slot.ran, now_s=self.clock())
+        self.pump()
+
+    def undo(self, slot: Slot) -> None:
+        """Give a slot back of which surely no byte was written."""
+        self.ledger.undo_dispatch(slot.offer.request_id)
+        self.release(slot)
+
+    def cancel(self, request_id: str, incarnation: str) -> Outcome:
+        """Cancel a request and return what is known about its run.
+
+        For an id that this incarnation doesn't know, not_run is true only
+        when the offer was meant for this incarnation.
+        """
+        before = self.ledger.cancel(request_id, self.clock())
+        if before is LedgerState.QUEUED:
+            self._refuse(
+                request_id,
+                self._error(ErrorCode.CANCELLED, "the request was cancelled"),
+            )
+            return Outcome.NOT_RUN
+        slot = self._running.get(request_id)
+        if slot is not None and slot.cancel is not None:
+            slot.cancel()
+        if before is None and incarnation != self.incarnation:
+            return Outcome.UNKNOWN
+        return self.ledger.outcome(request_id) or Outcome.UNKNOWN
+
+    async def async_set_floor(self, floor_tier: int, hold_s: float) -> int:
+        """Set the admission floor and refuse queued work below it.
+
+        Returns the floor after the last request below it that was granted
+        its slot before is written, so that none is dispatched after the
+        acknowledgement.
+        """
+        now_s = self.clock()
+        self.floor.set_floor(floor_tier, hold_s, now_s)
+        self.floor.record_contact(now_s)
+        self._displace(self.queue.displace_below(floor_tier))
+        self.pump()
+        for slot in list(self._running.values()):
+            if slot.offer.tier > floor_tier:
+                await slot.sent.wait()
+        return self.floor.current(self.clock())
+
+    def record_contact(self) -> None:
+        """Renew the permit to dispatch lower tiers."""
+        self.floor.record_contact(self.clock())
+        self.pump()
+
+    def set_draining(self, draining: bool) -> None:
+        """Start or end the drain; queued work is refused at its start."""
+        self.state.draining = draining
+        if draining:
+            self._refuse_all(ErrorCode.DRAINING, "the agent is draining")
+
+    def set_healthy(self, healthy: bool) -> None:
+        """Take the backend server's health; its loss refuses queued work."""
+        self.state.healthy = healthy
+        if not healthy:
+            self._refuse_all(
+                ErrorCode.NOT_READY, "the backend server is not healthy"
+            )
+
+    def pump(self) -> None:
+        """Dispatch as many queued requests as the limit allows."""
+        now_s = self.clock()
+        while self._waiters and self.running < self.limit.limit:
+            taken = self.queue.take(self.floor.current(now_s), now_s)
+            for item in taken.expired:
+                self._refuse(item.request_id, self._expired())
+            if taken.item is None:
+                return
+            self._grant(taken.item.request_id)
+
+    def _enqueue(self, offer: Offer, now_s: float) -> _Waiter:
+        deadline_s = None
+        if offer.budget_s is not None:
+            deadline_s = now_s + offer.budget_s
+        item = QueuedRequest(
+            request_id=offer.request_id,
+            tier=offer.tier,
+            deadline_s=deadline_s,
+            work_s=self.rates.expected_work_s(
+                offer.prompt_tokens, offer.expected_output_tokens
+            ),
+        )
+        decision = self.queue.offer(item, now_s)
+        if not decision.accepted:
+            self.ledger.refuse(offer.request_id)
+            raise self._error(
+                decision.reason or ErrorCode.OVERLOADED,
+                "the agent's queue takes no request of this tier",
+            )
+        self._displace(decision.displaced)
+        loop = get_running_loop()
+        waiter = _Waiter(offer=offer, item=item, granted=loop.create_future())
+        if offer.budget_s is not None:
+            waiter.timer = loop.call_later(
+                offer.budget_s, self._expire, offer.request_id
+            )
+        self._waiters[offer.request_id] = waiter
+        return waiter
+
+    def _grant(self, request_id: str) -> None:
+        waiter = self._pop(request_id)
+        if waiter is None or waiter.granted.done():
+            return
+        self.ledger.dispatch(request_id)
+        slot = Slot(offer=waiter.offer)
+        self._running[request_id] = slot
+        waiter.granted.set_result(slot)
+
+    def _abandon(self, waiter: _Waiter) -> None:
+        request_id = waiter.offer.request_id
+        if self._waiters.get(request_id) is waiter:
+            self._pop(request_id)
+            self.queue.remove(request_id)
+        if waiter.granted.cancelled():
+            self.ledger.cancel(request_id, self.clock())
+        elif waiter.granted.exception() is None:
+            # The slot was granted while the wait was being cancelled.
+            self.undo(waiter.granted.result())
+
+    def _expire(self, request_id: str) -> None:
+        self._refuse(request_id, self._expired())
+
+    def _displace(self, items: Iterable[QueuedRequest]) -> None:
+        for item in items:
+            self._refuse(item.request_id, self._displaced())
+
+    def _refuse_all(self, code: ErrorCode, message: str) -> None:
+        for request_id in list(self._waiters):
+            self._refuse(request_id, self._error(code, message))
+
+    def _refuse(self, request_id: str, error: AzurewickError) -> None:
+        waiter = self._pop(request_id)
+        self.queue.remove(request_id)
+        if waiter is None or waiter.granted.done():
+            return
+        self.ledger.refuse(request_id)
+        waiter.granted.set_exception(error)
+
+    def _pop(self, request_id: str) -> _Waiter | None:
+        waiter = self._waiters.pop(request_id, None)
+        if waiter is not None and waiter.timer is not None:
+            waiter.timer.cancel()
+        return waiter
+
+    def _displaced(self) -> AzurewickError:
+        return self._error(
+            ErrorCode.DISPLACED,
+            "a higher tier needs the pool",
+            retry_after_s=RETRY_DISPLACED_S,
+        )
+
+    def _expired(self) -> AzurewickError:
+        return self._error(
+            ErrorCode.TARGET_UNREACHABLE,
+            "the class target can't be met any more",
+        )
+
+    def _error(
+        self,
+        code: ErrorCode,
+        message: str,
+        retry_after_s: float | None = None,
+    ) -> AzurewickError:
+        return AzurewickError(
+            code,
+            message,
+            step=Step.QUEUE,
+            peer=self.name,
+            retry_after_s=retry_after_s,
+        )
--- /dev/null
+++ b/azurewick/agent/http_api.py
@@ -0,0 +1,359 @@
+"""HTTP port of the agent: dispatch, cancellation, health and readiness."""
+
+from __future__ import annotations
+
+from asyncio import CancelledError
+from asyncio import current_task
+from asyncio import timeout
+from asyncio import Transport
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from dataclasses import asdict
+import json
+from typing import Final
+from typing import Protocol
+from weakref import WeakSet
+
+from aiohttp import ClientError
+from aiohttp import ClientResponse
+from aiohttp.web import Application
+from aiohttp.web import HTTPRequestEntityTooLarge
+from aiohttp.web import json_response
+from aiohttp.web import Request
+from aiohttp.web import Response
+from aiohttp.web import StreamResponse
+
+from azurewick.agent.backend import BackendClient
+from azurewick.agent.dispatcher import Dispatcher
+from azurewick.agent.dispatcher import Slot
+from azurewick.agent.offer import parse_cancel
+from azurewick.agent.offer import parse_offer
+from azurewick.agent.rates import parse_usage
+from azurewick.agent.rates import TAIL_BYTES
+from azurewick.const import HEADER_LOAD
+from azurewick.const import HEADER_OFFER
+from azurewick.const import HEADER_OUTCOME
+from azurewick.const import HEADER_RETRY_AFTER
+from azurewick.const import MAX_BODY_BYTES
+from azurewick.const import PATH_AGENT_CANCEL
+from azurewick.const import PATH_AGENT_DISPATCH
+from azurewick.const import PATH_HEALTH
+from azurewick.const import PATH_READY
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
+from azurewick.errors import Step
+from azurewick.models import LoadReport
+from azurewick.models import Offer
+
+BODY_TIMEOUT_S: Final = 30.0
+# A reader that takes nothing for this long loses its stream, so that a
+# frozen gateway doesn't hold a slot of the backend server for ever.
+SLOW_READER_TIMEOUT_S: Final = 60.0
+
+_HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "date",
+        "server",
+    }
+)
+_OWN_PREFIX: Final = "x-azurewick-"
+
+
+class BackendMonitor(Protocol):
+    """Receiver of what the streams show of the backend server."""
+
+    def record_start(self, offer: Offer) -> None:
+        """Record that a request goes to the backend server."""
+
+    def record_end(self, offer: Offer) -> None:
+        """Record that a request ended without a broken connection."""
+
+    def record_broken(self, offer: Offer) -> None:
+        """Record a connection that the backend server broke."""
+
+    def record_refused(self, offer: Offer) -> None:
+        """Record a connection that the backend server refused."""
+
+    def is_poison(self, fingerprint: str) -> bool:
+        """Return whether a fingerprint has to be refused."""
+
+    def record_outcome(self, tier: int, code: str) -> None:
+        """Count the end of a request; code is "finished" or an error."""
+
+
+class DispatchApi:
+    """Handlers of the HTTP port.
+
+    report returns the present load; clock returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        backend: BackendClient,
+        monitor: BackendMonitor,
+        report: Callable[[], LoadReport],
+        clock: Callable[[], float],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._backend = backend
+        self._monitor = monitor
+        self._report = report
+        self._clock = clock
+        self._transports: WeakSet[Transport] = WeakSet()
+
+    @property
+    def is_flushed(self) -> bool:
+        """Return whether no byte of an answer waits for its reader."""
+        return not any(
+            transport.get_write_buffer_size()
+            for transport in self._transports
+            if not transport.is_closing()
+        )
+
+    def build_application(self) -> Application:
+        """Return the application with the routes of the port."""
+        app = Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_post(PATH_AGENT_DISPATCH, self.async_dispatch)
+        app.router.add_post(PATH_AGENT_CANCEL, self.async_cancel)
+        app.router.add_get(PATH_HEALTH, self.async_health)
+        app.router.add_get(PATH_READY, self.async_ready)
+        return app
+
+    async def async_health(self, request: Request) -> Response:
+        """Answer that the process runs."""
+        return json_response({"status": "ok"})
+
+    async def async_ready(self, request: Request) -> Response:
+        """Answer whether the agent takes new work."""
+        ready = self._dispatcher.is_ready
+        return json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def async_cancel(self, request: Request) -> Response:
+        """Cancel a request and answer what is known about its run."""
+        try:
+            cancel = parse_cancel(await _async_read(request))
+        except AzurewickError as err:
+            return self._refuse(err)
+        outcome = self._dispatcher.cancel(
+            cancel.request_id, cancel.incarnation
+        )
+        return json_response(
+            {
+                "request_id": cancel.request_id,
+                "outcome": outcome.value,
+                "incarnation": self._dispatcher.incarnation,
+            }
+        )
+
+    async def async_dispatch(self, request: Request) -> StreamResponse:
+        """Queue an offer, run it and stream its answer."""
+        tier = -1
+        if isinstance(request.transport, Transport):
+            self._transports.add(request.transport)
+        try:
+            offer = parse_offer(request.headers.get(HEADER_OFFER, ""))
+            tier = offer.tier
+            slot = await self._async_admit(request, offer)
+        except AzurewickError as err:
+            self._monitor.record_outcome(tier, err.code.value)
+            return self._refuse(err)
+        try:
+            return await self._async_run(request, slot)
+        except AzurewickError as err:
+            self._monitor.record_outcome(tier, err.code.value)
+            return self._refuse(err)
+        finally:
+            self._dispatcher.release(slot)
+
+    async def _async_admit(self, request: Request, offer: Offer) -> Slot:
+        self._dispatcher.check(offer)
+        if offer.fingerprint and self._monitor.is_poison(offer.fingerprint):
+            raise AzurewickError(
+                ErrorCode.POISON_REQUEST,
+                "the request crashed backend servers",
+                step=Step.QUEUE,
+                peer=self._dispatcher.name,
+            )
+        await _async_read(request)
+        return await self._dispatcher.async_acquire(offer)
+
+    async def _async_run(self, request: Request, slot: Slot) -> StreamResponse:
+        offer = slot.offer
+        task = current_task()
+        slot.cancel = task.cancel if task is not None else None
+        # The body was read before the queue, so this takes no time.
+        body = await request.read()
+        start_s = self._clock()
+        self._monitor.record_start(offer)
+        try:
+            response = await self._backend.async_send(
+                offer, body, slot.sent.set
+            )
+            async with response:
+                slot.ran = True
+                return await self._async_stream(
+                    request, slot, response, start_s
+                )
+        except AzurewickError as err:
+            self._record_failed(slot, err)
+            raise
+        except CancelledError:
+            self._monitor.record_outcome(offer.tier, "cancelled")
+            _abort(request)
+            await self._backend.async_cancel(offer.request_id)
+            raise
+        finally:
+            self._monitor.record_end(offer)
+
+    def _record_failed(self, slot: Slot, err: AzurewickError) -> None:
+        if err.outcome is Outcome.NOT_RUN:
+            self._dispatcher.undo(slot)
+            self._monitor.record_refused(slot.offer)
+        else:
+            self._monitor.record_broken(slot.offer)
+
+    async def _async_stream(
+        self,
+        request: Request,
+        slot: Slot,
+        response: ClientResponse,
+        start_s: float,
+    ) -> StreamResponse:
+        """Pass the answer on; abort the connection when it breaks.
+
+        The final chunk is written only after the backend server's own end.
+        """
+        stream = self._build_stream(slot.offer, response)
+        tail = b""
+        first_s: float | None = None
+        try:
+            await stream.prepare(request)
+            async for chunk in _async_chunks(slot.offer, response):
+                if first_s is None:
+                    first_s = self._clock()
+                tail = (tail + chunk)[-TAIL_BYTES:]
+                # The client stops reading from the backend server while
+                # this waits for the reader.
+                async with timeout(SLOW_READER_TIMEOUT_S):
+                    await stream.write(chunk)
+            await stream.write_eof()
+        except _BrokenAnswerError:
+            self._monitor.record_broken(slot.offer)
+            self._monitor.record_outcome(slot.offer.tier, "stream_broken")
+            _abort(request)
+        except (TimeoutError, ClientError, OSError):
+            self._monitor.record_outcome(slot.offer.tier, "reader_lost")
+            _abort(request)
+        else:
+            self._record_finished(slot, tail, start_s, first_s)
+        return stream
+
+    def _build_stream(
+        self, offer: Offer, response: ClientResponse
+    ) -> StreamResponse:
+        stream = StreamResponse(status=response.status, reason=response.reason)
+        for name, value in response.headers.items():
+            lower = name.lower()
+            if lower not in _HOP_HEADERS and not lower.startswith(_OWN_PREFIX):
+                stream.headers.add(name, value)
+        if _has_no_body(offer, response):
+            stream.headers.popall("Content-Length", None)
+        stream.headers[HEADER_OUTCOME] = Outcome.RAN.value
+        stream.headers[HEADER_LOAD] = self._load_header()
+        return stream
+
+    def _record_finished(
+        self, slot: Slot, tail: bytes, start_s: float, first_s: float | None
+    ) -> None:
+        self._monitor.record_outcome(slot.offer.tier, "finished")
+        usage = parse_usage(tail)
+        if usage is None or first_s is None:
+            return
+        now_s = self._clock()
+        dispatcher = self._dispatcher
+        dispatcher.rates.record_answer(
+            usage, first_s - start_s, now_s - start_s
+        )
+        if usage.output_tokens > 1:
+            dispatcher.limit.record_step(
+                dispatcher.running,
+                (now_s - first_s) / (usage.output_tokens - 1),
+                None,
+                now_s,
+            )
+
+    def _refuse(self, err: AzurewickError) -> Response:
+        headers = {HEADER_LOAD: self._load_header()}
+        if err.outcome is not Outcome.UNKNOWN:
+            headers[HEADER_OUTCOME] = err.outcome.value
+        if err.retry_after_s is not None:
+            headers[HEADER_RETRY_AFTER] = str(max(1, round(err.retry_after_s)))
+        return json_response(
+            err.as_body(), status=err.http_status, headers=headers
+        )
+
+    def _load_header(self) -> str:
+        return json.dumps(asdict(self._report()), separators=(",", ":"))
+
+
+async def _async_read(request: Request) -> bytes:
+    try:
+        async with timeout(BODY_TIMEOUT_S):
+            return await request.read()
+    except HTTPRequestEntityTooLarge as err:
+        raise AzurewickError(
+            ErrorCode.BODY_TOO_LARGE,
+            f"the body is larger than {MAX_BODY_BYTES} bytes",
+            step=Step.RECEIVE,
+        ) from err
+    except TimeoutError as err:
+        raise AzurewickError(
+            ErrorCode.INVALID_REQUEST,
+            f"the body did not arrive within {BODY_TIMEOUT_S:g} s",
+            step=Step.RECEIVE,
+        ) from err
+
+
+class _BrokenAnswerError(Exception):
+    """The backend server's answer has no proper end."""
+
+
+def _has_no_body(offer: Offer, response: ClientResponse) -> bool:
+    return offer.method == "HEAD" or response.status in (204, 304)
+
+
+async def _async_chunks(
+    offer: Offer, response: ClientResponse
+) -> AsyncIterator[bytes]:
+    """Yield the answer's bytes; raise _BrokenAnswerError when it breaks.
+
+    An answer that ends only by its connection's end can't be told from a
+    broken one, so it counts as broken.
+    """
+    try:
+        async for chunk in response.content.iter_any():
+            yield chunk
+    except (ClientError, OSError) as err:
+        raise _BrokenAnswerError from err
+    if not (
+        _has_no_body(offer, response)
+        or "Content-Length" in response.headers
+        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    ):
+        raise _BrokenAnswerError
+
+
+def _abort(request: Request) -> None:
+    """Close the connection without the final chunk."""
+    if request.transport is not None:
+        request.transport.abort()
