agent: tests of the dispatch port against a scripted backend server

Cause: the agent's promises had no test. A crash shown by broken streams starts a probe instead of making the agent unready by itself.

--- a/azurewick/agent/agent.py
+++ b/azurewick/agent/agent.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from asyncio import create_task
+from asyncio import Task
 from collections.abc import Callable
 from logging import getLogger
 from uuid import uuid4
@@ -49,6 +51,7 @@
         self._clock = clock
         self._listener = crashes
         self._health = BackendHealth()
+        self._probe: Task[None] | None = None
         self.backend = BackendClient(
             settings.backend_url, has_cancel=settings.kind == "model"
         )
@@ -134,7 +137,10 @@
         """Record a connection that the backend server broke."""
         crash = self._health.record_broken(offer.request_id, self._clock())
         self._take_crash(crash, "all streams broke")
-        self._take_health()
+        if crash is not None and self._probe is None:
+            # The next probe may be a second away; a request sent before it
+            # would meet a server that is down.
+            self._probe = create_task(self._async_probe_now())
 
     def record_refused(self, offer: Offer) -> None:
         """Record a connection that the backend server refused."""
@@ -154,6 +160,12 @@
         """Count the end of a request."""
         self.metrics.record_outcome(tier, code)
 
+    async def _async_probe_now(self) -> None:
+        try:
+            await self.async_probe()
+        finally:
+            self._probe = None
+
     def _take_crash(self, crash: Crash | None, reason: str) -> None:
         if crash is None:
             return
--- a/azurewick/agent/health.py
+++ b/azurewick/agent/health.py
@@ -81,6 +81,5 @@
         # they must not count for this crash a second time.
         self._in_flight.clear()
         self._broken.clear()
-        self.is_healthy = False
         self.run += 1
         return Crash(run=self.run, fingerprints=frozenset(suspects - {""}))
--- /dev/null
+++ b/tests/agent/builders.py
@@ -0,0 +1,248 @@
+"""Builders for the tests of the agent."""
+
+from __future__ import annotations
+
+from asyncio import Event
+from asyncio import IncompleteReadError
+from asyncio import sleep
+from asyncio import start_server
+from asyncio import StreamReader
+from asyncio import StreamWriter
+from asyncio import timeout
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import asdict
+from dataclasses import dataclass
+import json
+from typing import Any
+
+from aiohttp import ClientSession
+from aiohttp.web import AppRunner
+from aiohttp.web import TCPSite
+
+from azurewick.agent.agent import Agent
+from azurewick.agent.simple_admission import FixedLimit
+from azurewick.agent.simple_admission import SimpleFloor
+from azurewick.agent.simple_admission import SimpleTierQueue
+from azurewick.const import HEADER_OFFER
+from azurewick.const import PATH_AGENT_DISPATCH
+from azurewick.models import Offer
+from azurewick.settings.models import AgentSettings
+
+# Guard against a hang; no verdict depends on it.
+GUARD_S = 20.0
+WHOLE_ANSWER = b'{"answer": 1}'
+
+
+async def async_wait_for(condition: Callable[[], object]) -> None:
+    async with timeout(GUARD_S):
+        while True:
+            if condition():
+                return
+            await sleep(0.002)
+
+
+@dataclass(frozen=True, kw_only=True)
+class BackendRequest:
+    """Request as the backend server got it."""
+
+    method: str
+    path: str
+    request_id: str
+    body: bytes
+
+
+Behaviour = Callable[
+    ["ScriptedBackend", BackendRequest, StreamWriter], Awaitable[None]
+]
+
+
+async def async_answer(backend, request, writer):
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(WHOLE_ANSWER)}\r\n\r\n"
+    writer.write(head.encode() + WHOLE_ANSWER)
+    await writer.drain()
+
+
+async def async_reset(backend, request, writer):
+    writer.transport.abort()
+
+
+async def async_break_stream(backend, request, writer):
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n"
+    )
+    await writer.drain()
+    await backend.released.wait()
+
+
+async def async_end_without_length(backend, request, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf an ans")
+    await writer.drain()
+
+
+async def async_hold(backend, request, writer):
+    await backend.released.wait()
+    await async_answer(backend, request, writer)
+
+
+class ScriptedBackend:
+    """Backend server with one behaviour; it counts what reaches it."""
+
+    def __init__(self, behaviour: Behaviour = async_answer) -> None:
+        self.behaviour = behaviour
+        self.requests: list[BackendRequest] = []
+        self.closed: list[str] = []
+        self.released = Event()
+        self.health_status = 200
+        self._server: Any = None
+        self.port = 0
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.port}"
+
+    def runs(self, request_id: str) -> int:
+        return sum(
+            request.request_id == request_id for request in self.requests
+        )
+
+    async def async_start(self) -> None:
+        self._server = await start_server(
+            self._async_serve, "127.0.0.1", self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def refuse_connections(self) -> None:
+        self._server.close()
+
+    async def async_stop(self) -> None:
+        self.released.set()
+        self._server.close()
+
+    async def _async_serve(
+        self, reader: StreamReader, writer: StreamWriter
+    ) -> None:
+        try:
+            request = await self._async_read(reader)
+            if request.path == "/health":
+                status = f"HTTP/1.1 {self.health_status} status\r\n"
+                writer.write(status.encode() + b"Content-Length: 0\r\n\r\n")
+                return
+            self.requests.append(request)
+            await self.behaviour(self, request, writer)
+            self.closed.append(request.request_id)
+        except (ConnectionError, IncompleteReadError):
+            return
+        finally:
+            writer.close()
+
+    async def _async_read(self, reader: StreamReader) -> BackendRequest:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        lines = head.split("\r\n")
+        method, path, _ = lines[0].split(" ")
+        headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines[1:])
+        }
+        length = int(headers.get("content-length", 0))
+        return BackendRequest(
+            method=method,
+            path=path,
+            request_id=headers.get("x-request-id", ""),
+            body=await reader.readexactly(length),
+        )
+
+
+def make_settings(backend_url: str, **changes: Any) -> AgentSettings:
+    fields = {
+        "role": "agent",
+        "name": "agent-1",
+        "region": "lima",
+        "failure_domain": "lima-a",
+        "address": "127.0.0.1:0",
+        "control_address": "127.0.0.1:0",
+        "store": {"url": "http://127.0.0.1:1"},
+        "pool": "assistant",
+        "kind": "service",
+        "version": "v1",
+        "backend_url": backend_url,
+    }
+    return AgentSettings.model_validate({**fields, **changes})
+
+
+def make_offer(request_id: str = "gw-1/a/1", **changes: Any) -> Offer:
+    fields: dict[str, Any] = {
+        "request_id": request_id,
+        "customer": "studio",
+        "request_class": "booking",
+        "tier": 0,
+        "method": "POST",
+        "path": "/bookings?day=1",
+    }
+    return Offer(**{**fields, **changes})
+
+
+class AgentHarness:
+    """Agent with its HTTP port, a backend server and a client."""
+
+    def __init__(
+        self, backend: ScriptedBackend, limit: int = 8, **settings: Any
+    ) -> None:
+        self.backend = backend
+        self._limit = limit
+        self._settings = settings
+        self.crashes: list[frozenset[str]] = []
+
+    def record_crash(self, source, incarnation, fingerprints, now_s):
+        self.crashes.append(frozenset(fingerprints))
+
+    def is_poison(self, fingerprint, now_s):
+        return fingerprint == "poison"
+
+    async def __aenter__(self) -> AgentHarness:
+        await self.backend.async_start()
+        self.agent = Agent(
+            make_settings(self.backend.url, **self._settings),
+            queue=SimpleTierQueue(16),
+            floor=SimpleFloor(),
+            limit=FixedLimit(self._limit),
+            crashes=self,
+        )
+        await self.agent.backend.async_start()
+        await self.agent.async_probe()
+        self.runner = AppRunner(
+            self.agent.api.build_application(), handler_cancellation=True
+        )
+        await self.runner.setup()
+        site = TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.url = f"http://127.0.0.1:{self.runner.addresses[0][1]}"
+        self.client = ClientSession()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.client.close()
+        self.backend.released.set()
+        await self.runner.cleanup()
+        await self.agent.backend.async_stop()
+        await self.backend.async_stop()
+
+    def dispatch(self, offer: Offer, body: bytes = b"{}") -> Any:
+        return self.client.post(
+            self.url + PATH_AGENT_DISPATCH,
+            data=body,
+            headers={HEADER_OFFER: json.dumps(asdict(offer))},
+        )
+
+    async def async_dispatch(self, offer: Offer, body: bytes = b"{}"):
+        """Return the status, the answer and its outcome header."""
+        async with timeout(GUARD_S), self.dispatch(offer, body) as response:
+            outcome = response.headers.get("X-Azurewick-Outcome")
+            return response.status, await response.read(), outcome
+
+    async def async_cancel(self, request_id: str, incarnation: str = ""):
+        async with self.client.post(
+            self.url + "/v1/cancel",
+            json={"request_id": request_id, "incarnation": incarnation},
+        ) as response:
+            return (await response.json())["outcome"]
