--- /dev/null
+++ b/bench/memory_store.py
@@ -0,0 +1,132 @@
+"""Object store in memory that follows the contract of ObjectStore."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+from typing import Any
+
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.platform.protocols import ObjectList
+from azurewick.platform.protocols import StoredObject
+from azurewick.platform.protocols import WatchEvent
+
+Effect = Callable[[], StoredObject]
+# Runs the effect of one call; it may wait, fail before or after the effect.
+Around = Callable[[str, Effect], Awaitable[StoredObject]]
+
+
+async def async_call_plainly(kind: str, effect: Effect) -> StoredObject:
+    """Run the effect of a call at once."""
+    return effect()
+
+
+class StoreData:
+    """Objects of one store; shared by the clients of several processes."""
+
+    def __init__(self) -> None:
+        self.objects: dict[tuple[str, str], tuple[int, str]] = {}
+        self.calls: Counter[str] = Counter()
+        self.bytes_read = 0
+        self.bytes_written = 0
+        self.largest_value_bytes = 0
+        self._version = 0
+
+    def read(self, plural: str, name: str) -> StoredObject:
+        """Return a copy of an object."""
+        self.calls["read"] += 1
+        found = self.objects.get((plural, name))
+        if found is None:
+            raise _error(ErrorCode.STORE_NOT_FOUND, name)
+        self.bytes_read += len(found[1])
+        return StoredObject(
+            plural=plural,
+            name=name,
+            version=found[0],
+            spec=json.loads(found[1]),
+        )
+
+    def write(
+        self, plural: str, name: str, version: int | None, spec: dict[str, Any]
+    ) -> StoredObject:
+        """Write if the version is the present one, None for no object."""
+        self.calls["write"] += 1
+        text = json.dumps(spec, separators=(",", ":"))
+        self.bytes_written += len(text)
+        found = self.objects.get((plural, name))
+        if (found and found[0]) != version:
+            self.calls["conflict"] += 1
+            raise _error(ErrorCode.STORE_CONFLICT, name)
+        self._version += 1
+        self.largest_value_bytes = max(self.largest_value_bytes, len(text))
+        self.objects[(plural, name)] = (self._version, text)
+        return StoredObject(
+            plural=plural, name=name, version=self._version, spec=spec
+        )
+
+    def delete(self, item: StoredObject) -> StoredObject:
+        """Delete if the version is the present one."""
+        self.calls["write"] += 1
+        found = self.objects.get((item.plural, item.name))
+        if found is None or found[0] != item.version:
+            raise _error(ErrorCode.STORE_CONFLICT, item.name)
+        del self.objects[(item.plural, item.name)]
+        return item
+
+
+class MemoryStore:
+    """Client of a store in memory; around shapes each call."""
+
+    def __init__(
+        self, data: StoreData, around: Around = async_call_plainly
+    ) -> None:
+        self.data = data
+        self.around = around
+
+    async def async_get(self, plural: str, name: str) -> StoredObject:
+        """Return an object."""
+        return await self.around("read", lambda: self.data.read(plural, name))
+
+    async def async_list(self, plural: str) -> ObjectList:
+        """Fail: claims are never listed."""
+        raise NotImplementedError
+
+    async def async_create(
+        self,
+        plural: str,
+        name: str,
+        spec: dict[str, Any],
+        status: dict[str, Any] | None = None,
+    ) -> StoredObject:
+        """Create an object."""
+        return await self.around(
+            "write", lambda: self.data.write(plural, name, None, spec)
+        )
+
+    async def async_update(self, item: StoredObject) -> StoredObject:
+        """Write an object if its version is still the one in the store."""
+        return await self.around(
+            "write",
+            lambda: self.data.write(
+                item.plural, item.name, item.version, item.spec
+            ),
+        )
+
+    async def async_delete(self, item: StoredObject) -> None:
+        """Delete an object if its version is still the one in the store."""
+        await self.around("write", lambda: self.data.delete(item))
+
+    def async_watch(
+        self, plural: str, after_version: int, timeout_s: float
+    ) -> AsyncIterator[WatchEvent]:
+        """Fail: claims are never watched."""
+        raise NotImplementedError
+
+
+def _error(code: ErrorCode, name: str) -> AzurewickError:
+    return AzurewickError(code, name, step=Step.STORE, peer="store")
