--- a/tests/claims/test_decisions.py
+++ b/tests/claims/test_decisions.py
@@ -186,6 +186,58 @@
         self.assertEqual([KEYS[0]], run_schedule(schedule)[0])
 
 
+class TransitionTest(TestCase):
+    """Guards against a transition that only a rare schedule shows."""
+
+    def test_each_operation_on_each_state(self):
+        own, other = "gw/a/1", "gw/b/1"
+        claim, complete, release = OperationKind
+        cases = (
+            # state, its token, operation, kind, state after
+            (None, "", claim, "granted", "claimed"),
+            (None, "", complete, "in_progress", None),
+            (None, "", release, "released", "released"),
+            ("claimed", own, claim, "granted", "claimed"),
+            ("claimed", own, complete, "replay", "done"),
+            ("claimed", own, release, "released", "released"),
+            ("claimed", other, claim, "in_progress", "claimed"),
+            ("claimed", other, complete, "in_progress", "claimed"),
+            ("claimed", other, release, "in_progress", "claimed"),
+            ("done", own, release, "not_retained", "done"),
+            ("done", other, claim, "not_retained", "done"),
+            ("done", other, complete, "in_progress", "done"),
+            ("released", own, claim, "in_progress", "released"),
+            ("released", own, complete, "released", "released"),
+            ("released", other, claim, "granted", "claimed"),
+            ("released", other, release, "in_progress", "released"),
+        )
+        answer = Answer(status=200, content_type="t", body=b"")
+        for state, token, kind, expected, after in cases:
+            with self.subTest(state=state, own=token == own, kind=kind):
+                claims = {}
+                if state is not None:
+                    claims[KEYS[0]] = Claim(
+                        state=ClaimState(state),
+                        token=token,
+                        fingerprint="f",
+                        claimed_at_s=0.0,
+                    )
+                operation = Operation(
+                    kind=kind,
+                    key=KEYS[0],
+                    token=own,
+                    now_s=1.0,
+                    fingerprint="f",
+                    answer=answer,
+                )
+                head = ShardHead(claims=claims)
+                decision = decisions.decide_operations(head, {}, [operation])
+                self.assertEqual(expected, decision.decisions[0].kind)
+                left = decision.head.claims.get(KEYS[0])
+                self.assertEqual(after, left and left.state)
+                self.assertEqual(left != claims.get(KEYS[0]), decision.changed)
+
+
 class LimitTest(TestCase):
     """Guards against a value above 1 MB and against a lost claim."""
 
--- a/tests/claims/test_faults.py
+++ b/tests/claims/test_faults.py
@@ -193,6 +193,19 @@
 
         run_virtual(async_run())
 
+    def test_decision_without_a_write_is_made_on_a_fresh_head(self):
+        async def async_run():
+            first, second = make_gateways(2)
+            await first.claims.async_claim(KEY, "f", EPOCH_S)
+            before = await second.claims.async_claim(KEY, "f", EPOCH_S)
+            self.assertIs(ClaimKind.IN_PROGRESS, before.kind)
+            answer = Answer(status=200, content_type="t", body=b"a")
+            await first.claims.async_complete(KEY, answer, EPOCH_S)
+            after = await second.claims.async_claim(KEY, "f", EPOCH_S)
+            self.assertEqual(answer, after.answer)
+
+        run_virtual(async_run())
+
     def test_large_answer_is_not_retained(self):
         async def async_run():
             (gateway,) = make_gateways(1)
