Add the demonstration, the command-line tool and the glossary

Cause: the whole path needs a driver that starts it as separate processes. Change: demo/ (fleet, callers, scenario, report), azurewick/cli, glossary.

--- /dev/null
+++ b/azurewick/cli/config.py
@@ -0,0 +1,186 @@
+"""Commands for the fleet configuration."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from difflib import unified_diff
+import json
+from pathlib import Path
+from typing import Annotated
+from typing import Any
+from uuid import uuid4
+
+import typer
+
+from azurewick.cli.const import ExitCode
+from azurewick.cli.context import CommandContext
+from azurewick.cli.context import get_context
+from azurewick.cli.context import run_command
+from azurewick.configuration.coordinator import ConfigurationCoordinator
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+
+DEFAULT_WAIT_TIMEOUT_S = 30.0
+
+app = typer.Typer(no_args_is_help=True, help="Configuration of the fleet.")
+
+
+@asynccontextmanager
+async def async_open_coordinator(
+    command: CommandContext,
+) -> AsyncIterator[ConfigurationCoordinator]:
+    """Open the configuration in the store for one command."""
+    settings = command.load_settings()
+    async with command.async_open_store() as store:
+        yield ConfigurationCoordinator(
+            store, control_addresses=settings.control_addresses
+        )
+
+
+@app.command("get")
+def get_configuration(context: typer.Context) -> None:
+    """Print the configuration as JSON.
+
+    Example: azurewick config get > fleet.json
+    """
+    command = get_context(context)
+    run_command(lambda: _async_get_configuration(command))
+
+
+async def _async_get_configuration(command: CommandContext) -> None:
+    async with async_open_coordinator(command) as coordinator:
+        current = await coordinator.async_get()
+    typer.echo(_format_spec(current.spec))
+    command.print_progress(f"revision {current.version}")
+
+
+@app.command("diff")
+def diff_configuration(
+    context: typer.Context,
+    file: Annotated[Path, typer.Argument(help="JSON configuration.")],
+) -> None:
+    """Show what applying a file would change.
+
+    Example: azurewick config diff fleet.json
+    """
+    command = get_context(context)
+    run_command(lambda: _async_diff_configuration(command, file))
+
+
+async def _async_diff_configuration(
+    command: CommandContext, file: Path
+) -> None:
+    spec = read_spec(file)
+    async with async_open_coordinator(command) as coordinator:
+        current = await coordinator.async_get()
+    for line in unified_diff(
+        _format_spec(current.spec).splitlines(),
+        _format_spec(spec).splitlines(),
+        fromfile=f"revision {current.version}",
+        tofile=str(file),
+        lineterm="",
+    ):
+        typer.echo(line)
+
+
+@app.command("apply")
+def apply_configuration(
+    context: typer.Context,
+    file: Annotated[Path, typer.Argument(help="JSON configuration.")],
+    revision: Annotated[
+        int | None,
+        typer.Option(
+            help="Revision that the file was made from; another one in the"
+            " store is a conflict. The default is the current one."
+        ),
+    ] = None,
+    wait: Annotated[
+        bool, typer.Option(help="Wait until it is in force everywhere.")
+    ] = False,
+) -> None:
+    """Validate a configuration and put it in force.
+
+    Example: azurewick config apply fleet.json --wait
+    """
+    command = get_context(context)
+    run_command(
+        lambda: _async_apply_configuration(command, file, revision, wait)
+    )
+
+
+async def _async_apply_configuration(
+    command: CommandContext, file: Path, revision: int | None, wait: bool
+) -> None:
+    spec = read_spec(file)
+    async with async_open_coordinator(command) as coordinator:
+        if revision is None:
+            revision = await _async_read_revision(coordinator)
+        await async_apply(command, coordinator, spec, revision, wait)
+
+
+async def _async_read_revision(
+    coordinator: ConfigurationCoordinator,
+) -> int | None:
+    try:
+        return (await coordinator.async_get()).version
+    except AzurewickError as err:
+        if err.code is ErrorCode.STORE_NOT_FOUND:
+            return None
+        raise
+
+
+async def async_apply(
+    command: CommandContext,
+    coordinator: ConfigurationCoordinator,
+    spec: dict[str, Any],
+    revision: int | None,
+    wait: bool,
+) -> None:
+    """Apply a configuration made from a revision and report it."""
+    accepted = await coordinator.async_apply(spec, revision, str(uuid4()))
+    if not wait:
+        command.print_message(
+            f"accepted as revision {accepted.version}",
+            revision=accepted.version,
+        )
+        return
+    report = await coordinator.async_wait_in_force(
+        accepted.version, timeout_s=DEFAULT_WAIT_TIMEOUT_S
+    )
+    command.print_message(
+        f"revision {accepted.version} is in force at"
+        f" {report.in_force} of {report.total} processes",
+        revision=accepted.version,
+        in_force=report.in_force,
+        total=report.total,
+    )
+    if report.in_force < report.total or not report.total:
+        raise typer.Exit(ExitCode.WAIT_EXPIRED)
+
+
+def read_spec(file: Path) -> dict[str, Any]:
+    """Return the configuration in a JSON file.
+
+    Raises AzurewickError with code invalid_configuration.
+    """
+    try:
+        spec = json.loads(file.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as err:
+        raise AzurewickError(
+            ErrorCode.INVALID_CONFIGURATION,
+            f"{file}: {err}",
+            step=Step.CONFIGURE,
+        ) from err
+    if not isinstance(spec, dict):
+        raise AzurewickError(
+            ErrorCode.INVALID_CONFIGURATION,
+            f"{file}: expected a JSON object",
+            step=Step.CONFIGURE,
+        )
+    return spec
+
+
+def _format_spec(spec: dict[str, Any]) -> str:
+    return json.dumps(spec, indent=2, sort_keys=True)
--- /dev/null
+++ b/demo/load.py
@@ -0,0 +1,223 @@
+"""Callers that send mixed traffic of three tiers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+import json
+from random import Random
+from time import monotonic
+from typing import Any
+
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+
+from azurewick.const import HEADER_IDEMPOTENCY_KEY
+from azurewick.const import HEADER_REQUEST_CLASS
+from azurewick.const import PATH_CHAT_COMPLETIONS
+from azurewick.const import PREFIX_SERVICES
+from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
+from demo.fleet import API_KEYS
+from demo.fleet import CLASS_DEPOSIT
+from demo.fleet import CLASS_DRAFT
+from demo.fleet import CLASS_QUICK
+from demo.fleet import CLASS_TAG
+from demo.fleet import POOL_BOOKING
+
+REQUEST_TIMEOUT_S = 20.0
+TIERS = {CLASS_QUICK: 0, CLASS_DRAFT: 1, CLASS_TAG: 2, CLASS_DEPOSIT: 0}
+FIRST_TOKEN_TARGET_S = {CLASS_QUICK: 1.9}
+COMPLETION_TARGET_S = {CLASS_DRAFT: 10.0, CLASS_TAG: 10.0, CLASS_DEPOSIT: 5.0}
+MAX_TOKENS = {CLASS_QUICK: 12, CLASS_DRAFT: 60, CLASS_TAG: 4}
+PROMPT_WORDS = {CLASS_QUICK: 40, CLASS_DRAFT: 200, CLASS_TAG: 24}
+SHARED_PREFIX_WORDS = 0.75
+CLASS_CYCLE = (
+    CLASS_QUICK,
+    CLASS_TAG,
+    CLASS_QUICK,
+    CLASS_DRAFT,
+    CLASS_DEPOSIT,
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class RequestRecord:
+    """What a caller saw of one attempt of a request."""
+
+    request_class: str
+    sent_at_s: float
+    duration_s: float
+    first_token_s: float | None = None
+    status: int = 0
+    code: str = ""
+    outcome: str = ""
+    is_whole: bool = False
+    idempotency_key: str = ""
+
+    @property
+    def is_good(self) -> bool:
+        """Return whether the answer was whole and within its target."""
+        if not self.is_whole:
+            return False
+        limit_s = FIRST_TOKEN_TARGET_S.get(self.request_class)
+        if limit_s is not None:
+            return (
+                self.first_token_s is not None
+                and self.first_token_s <= limit_s
+            )
+        return self.duration_s <= COMPLETION_TARGET_S[self.request_class]
+
+
+@dataclass(kw_only=True)
+class Callers:
+    """Callers of several customers behind two gateways."""
+
+    session: ClientSession
+    gateway_urls: list[str]
+    random: Random
+    records: list[RequestRecord] = field(default_factory=list)
+    violations: Counter[str] = field(default_factory=Counter)
+    _sent: int = 0
+    _tasks: set[asyncio.Task[RequestRecord]] = field(default_factory=set)
+
+    async def async_send_for(
+        self,
+        duration_s: float,
+        rate_per_s: float,
+        classes: tuple[str, ...] = CLASS_CYCLE,
+        resends: int = 0,
+    ) -> None:
+        """Send requests at a steady rate; answers may arrive later."""
+        deadline_s = monotonic() + duration_s
+        while monotonic() < deadline_s:
+            self.send(classes[self._sent % len(classes)], resends=resends)
+            await asyncio.sleep(1 / rate_per_s)
+
+    def send(
+        self, request_class: str, *, resends: int = 0, key: str = ""
+    ) -> asyncio.Task[RequestRecord]:
+        """Send one request in the background, resent after a failure."""
+        self._sent += 1
+        number = self._sent
+        key = key or f"key-{number}"
+        task = asyncio.create_task(
+            self._async_send(request_class, number, key, resends)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def async_drain(self) -> None:
+        """Wait for the answers to all requests."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks)
+
+    async def _async_send(
+        self, request_class: str, number: int, key: str, resends: int
+    ) -> RequestRecord:
+        record = await self._async_attempt(request_class, number, key, 0)
+        for attempt in range(1, resends + 1):
+            if record.is_whole:
+                break
+            await asyncio.sleep(0.2 * attempt)
+            record = await self._async_attempt(
+                request_class, number, key, attempt
+            )
+        return record
+
+    async def _async_attempt(
+        self, request_class: str, number: int, key: str, attempt: int
+    ) -> RequestRecord:
+        url = self.gateway_urls[(number + attempt) % len(self.gateway_urls)]
+        customer = list(API_KEYS)[number % len(API_KEYS)]
+        headers = {
+            "Authorization": f"Bearer {API_KEYS[customer]}",
+            HEADER_REQUEST_CLASS: request_class,
+        }
+        if request_class == CLASS_DEPOSIT:
+            path = f"{PREFIX_SERVICES}{POOL_BOOKING}/deposits"
+            body: dict[str, Any] = {"amount": 25, "reference": key}
+            headers[HEADER_IDEMPOTENCY_KEY] = key
+        else:
+            path = PATH_CHAT_COMPLETIONS
+            body = self._build_chat(request_class, number, customer)
+        record = await self._async_post(
+            url + path, headers, body, request_class, key
+        )
+        self.records.append(record)
+        return record
+
+    def _build_chat(
+        self, request_class: str, number: int, customer: str
+    ) -> dict[str, Any]:
+        words = PROMPT_WORDS[request_class]
+        shared = int(words * SHARED_PREFIX_WORDS)
+        prompt = [f"{customer}-{request_class}-{i}" for i in range(shared)]
+        prompt += [f"request-{number}-{i}" for i in range(words - shared)]
+        return {
+            "model": "assistant",
+            "stream": request_class == CLASS_QUICK,
+            "max_tokens": MAX_TOKENS[request_class],
+            "messages": [{"role": "user", "content": " ".join(prompt)}],
+        }
+
+    async def _async_post(
+        self,
+        url: str,
+        headers: dict[str, str],
+        body: dict[str, Any],
+        request_class: str,
+        key: str,
+    ) -> RequestRecord:
+        sent_at_s = monotonic()
+        first_token_s: float | None = None
+        status = 0
+        data = b""
+        complete = False
+        try:
+            async with self.session.post(
+                url,
+                json=body,
+                headers=headers,
+                timeout=ClientTimeout(total=REQUEST_TIMEOUT_S),
+            ) as response:
+                status = response.status
+                async for chunk in response.content.iter_any():
+                    if first_token_s is None:
+                        first_token_s = monotonic() - sent_at_s
+                    data += chunk
+            complete = True
+        except (ClientError, TimeoutError):
+            pass
+        code, outcome = _read_error(status, data)
+        is_whole = complete and status in (200, 201) and not code
+        if is_whole and body.get("stream") and b"[DONE]" not in data:
+            self.violations["stream ended as whole without its end"] += 1
+            is_whole = False
+        return RequestRecord(
+            request_class=request_class,
+            sent_at_s=sent_at_s,
+            duration_s=monotonic() - sent_at_s,
+            first_token_s=first_token_s,
+            status=status,
+            code=code,
+            outcome=outcome,
+            is_whole=is_whole,
+            idempotency_key=key if request_class == CLASS_DEPOSIT else "",
+        )
+
+
+def _read_error(status: int, data: bytes) -> tuple[str, str]:
+    if status == 200 and b"event: error" in data:
+        return ErrorCode.STREAM_BROKEN, Outcome.UNKNOWN
+    if status < 400:
+        return "", ""
+    try:
+        error = json.loads(data)["error"]
+        return error["code"], error["outcome"]
+    except (ValueError, KeyError, TypeError):
+        return "not_an_error_body", ""
--- /dev/null
+++ b/demo/scenario.py
@@ -0,0 +1,205 @@
+"""Phases of the demonstration."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import signal
+from time import monotonic
+from time import time
+from typing import Any
+
+from rich.console import Console
+
+from demo.fleet import BackendSpec
+from demo.fleet import CLASS_DEPOSIT
+from demo.fleet import CLASS_QUICK
+from demo.fleet import CLASS_TAG
+from demo.fleet import Fleet
+from demo.fleet import POOL_ASSISTANT
+from demo.load import Callers
+from demo.moves import async_request_move
+from demo.moves import async_wait_for_move
+from demo.report import check_deposits
+from demo.report import collect_violations
+from demo.report import count_tiers
+from demo.report import DemoFigures
+
+STEADY_RATE_PER_S = 30.0
+BURST_REQUESTS = 120
+OUTAGE_S = 3.0
+FREEZE_S = 3.0
+GOOD_VERSION = "v2"
+BAD_VERSION = "v3"
+MOVE_TIME_S = 12.0
+MOVE_RATE_PER_S = 120.0
+BAD_FAILING_SHARE = 0.5
+
+
+@dataclass(kw_only=True)
+class Scenario:
+    """Plays the phases and collects the figures."""
+
+    fleet: Fleet
+    callers: Callers
+    console: Console
+    figures: DemoFigures = field(default_factory=DemoFigures)
+    _counters: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+    async def async_run(self) -> DemoFigures:
+        """Play each phase and return the figures."""
+        started_s = monotonic()
+        phases: tuple[tuple[str, Callable[[], Awaitable[None]]], ...] = (
+            ("mixed traffic of three tiers", self._async_play_steady),
+            ("every caller returns at once", self._async_play_burst),
+            ("agent killed with SIGKILL", self._async_play_agent_kill),
+            ("gateway frozen and resumed", self._async_play_freeze),
+            ("store outage", self._async_play_store_outage),
+            ("move to a good version", self._async_play_good_move),
+            ("move to a bad version", self._async_play_bad_move),
+        )
+        for name, async_play in phases:
+            begun_s = monotonic()
+            await async_play()
+            await self.callers.async_drain()
+            self.console.print(
+                f"{name}: {monotonic() - begun_s:.1f} s,"
+                f" {len(self.callers.records)} attempts so far"
+            )
+        await self._async_collect()
+        self.figures.duration_s = monotonic() - started_s
+        return self.figures
+
+    async def _async_play_steady(self) -> None:
+        await self.callers.async_send_for(4.0, STEADY_RATE_PER_S)
+
+    async def _async_play_burst(self) -> None:
+        classes = (CLASS_QUICK, CLASS_DEPOSIT, CLASS_TAG)
+        for index in range(BURST_REQUESTS):
+            request_class = classes[index % len(classes)]
+            key = f"burst-{index}"
+            self.callers.send(request_class, key=key, resends=3)
+            self.callers.send(request_class, key=key, resends=3)
+        await self.callers.async_drain()
+
+    async def _async_play_agent_kill(self) -> None:
+        agents = ("engine-3-agent", "booking-2-agent")
+        sending = asyncio.create_task(
+            self.callers.async_send_for(3.0, STEADY_RATE_PER_S, resends=2)
+        )
+        await asyncio.sleep(1.0)
+        for name in agents:
+            self.fleet.group.processes[name].send_signal(signal.SIGKILL)
+        await sending
+
+    async def _async_play_freeze(self) -> None:
+        gateway = self.fleet.group.processes["gateway-2"]
+        sending = asyncio.create_task(
+            self.callers.async_send_for(FREEZE_S, STEADY_RATE_PER_S, resends=2)
+        )
+        await asyncio.sleep(0.5)
+        gateway.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S - 1.0)
+        gateway.send_signal(signal.SIGCONT)
+        await sending
+
+    async def _async_play_store_outage(self) -> None:
+        await self.fleet.async_set_faults(self.fleet.store_url, outage=True)
+        before = len(self.callers.records)
+        await self.callers.async_send_for(OUTAGE_S, STEADY_RATE_PER_S)
+        await self.callers.async_drain()
+        await self.fleet.async_set_faults(self.fleet.store_url, outage=False)
+        records = self.callers.records[before:]
+        for record in records:
+            if record.request_class == CLASS_DEPOSIT:
+                continue
+            if not record.is_whole:
+                self.callers.violations["not served in a store outage"] += 1
+
+    async def _async_play_good_move(self) -> None:
+        specs = tuple(
+            BackendSpec(
+                name=f"engine-{GOOD_VERSION}-{index}",
+                pool=POOL_ASSISTANT,
+                version=GOOD_VERSION,
+                speed=2.0,
+                domain=index % 2,
+            )
+            for index in range(2)
+        )
+        state = await self._async_play_move(specs, GOOD_VERSION)
+        if state == "done":
+            self.figures.versions_completed.append(GOOD_VERSION)
+
+    async def _async_play_bad_move(self) -> None:
+        spec = BackendSpec(
+            name=f"engine-{BAD_VERSION}",
+            pool=POOL_ASSISTANT,
+            version=BAD_VERSION,
+            domain=0,
+        )
+        before = len(self.callers.records)
+        state = await self._async_play_move(
+            (spec,), BAD_VERSION, failing_share=BAD_FAILING_SHARE
+        )
+        if state == "rolled_back":
+            self.figures.versions_rolled_back.append(BAD_VERSION)
+        counters = await self.fleet.async_read_counters()
+        started = counters[spec.name]["requests_started"]
+        sent = sum(
+            record.request_class == CLASS_QUICK
+            for record in self.callers.records[before:]
+        )
+        self.figures.bad_version_share = started / max(1, sent)
+
+    async def _async_play_move(
+        self,
+        specs: tuple[BackendSpec, ...],
+        version: str,
+        **faults: object,
+    ) -> str:
+        names = await self.fleet.async_start_backends(specs)
+        await self.fleet.group.async_wait_ready(self.fleet.session, names)
+        for spec in specs if faults else ():
+            url = self.fleet.backend_urls[spec.name]
+            await self.fleet.async_set_faults(url, **faults)
+        await async_request_move(
+            self.fleet, CLASS_QUICK, version, time() + MOVE_TIME_S
+        )
+        waiting = asyncio.create_task(
+            async_wait_for_move(self.fleet, CLASS_QUICK, version, MOVE_TIME_S)
+        )
+        while not waiting.done():
+            await self.callers.async_send_for(
+                0.5, MOVE_RATE_PER_S, (CLASS_QUICK,), resends=1
+            )
+        return waiting.result()
+
+    async def _async_collect(self) -> None:
+        figures = self.figures
+        records = self.callers.records
+        figures.tiers = count_tiers(records)
+        counters = await self.fleet.async_read_counters()
+        for engine in counters.values():
+            figures.prefill_computed_tokens += engine["prompt_tokens_computed"]
+            figures.prefill_cached_tokens += engine["prompt_tokens_cached"]
+        figures.engine_runs_twice = _count_repeated_runs(counters)
+        runs_by_key: dict[str, int] = {}
+        for name in ("booking-1", "booking-2"):
+            url = self.fleet.backend_urls[name]
+            runs = await self.fleet.async_read(f"{url}/admin/runs")
+            for key, count in runs["runs"].items():
+                runs_by_key[key] = runs_by_key.get(key, 0) + count
+        check_deposits(figures, records, runs_by_key)
+        collect_violations(figures, self.callers)
+
+
+def _count_repeated_runs(counters: dict[str, dict[str, Any]]) -> int:
+    runs: dict[str, int] = {}
+    for engine in counters.values():
+        for request_id, count in engine["runs"].items():
+            runs[request_id] = runs.get(request_id, 0) + count
+    return sum(count > 1 for count in runs.values())
