Add the stand-ins of the object API, the engine and the plain service

The tests and the demonstration need the systems at azurewick's interfaces. Each stand-in runs inside a test or as a process, injects faults through /admin/faults and reports counters.

--- /dev/null
+++ b/fakes/chat_format.py
@@ -0,0 +1,48 @@
+"""OpenAI-style bodies of the model engine stand-in."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from aiohttp import web
+
+from fakes.batch import Run
+
+
+def token(run: Run, index: int) -> str:
+    """Return an output token that names its request and its place."""
+    return f"{run.request_id}:{index}"
+
+
+def usage(run: Run) -> dict[str, Any]:
+    """Return the usage of a request so far."""
+    return {
+        "prompt_tokens": run.prompt_tokens,
+        "completion_tokens": run.output_tokens,
+        "total_tokens": run.prompt_tokens + run.output_tokens,
+        "prompt_tokens_details": {"cached_tokens": run.cached_tokens},
+    }
+
+
+def chunk(
+    run: Run, *, delta: dict[str, str], finish_reason: str | None = None
+) -> bytes:
+    """Return one SSE chunk; the last one has a reason and the usage."""
+    body: dict[str, Any] = {
+        "id": run.request_id,
+        "object": "chat.completion.chunk",
+        "model": run.model,
+        "choices": [
+            {"index": 0, "delta": delta, "finish_reason": finish_reason}
+        ],
+    }
+    if finish_reason is not None:
+        body["usage"] = usage(run)
+    return b"data: " + json.dumps(body).encode() + b"\n\n"
+
+
+def answer_error(status: int, message: str) -> web.Response:
+    """Return an OpenAI-style error."""
+    error = {"message": message, "type": "engine_error", "code": status}
+    return web.json_response({"error": error}, status=status)
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Contract tests of the stand-ins."""
--- /dev/null
+++ b/tests/fakes/test_object_api.py
@@ -0,0 +1,145 @@
+"""Contract tests of the object API stand-in."""
+
+from __future__ import annotations
+
+import json
+
+from aiohttp import ClientError
+
+from fakes.object_api import ObjectApi
+from tests.fakes.builders import FakeTestCase
+
+BASE = "/apis/azurewick.dev/v1"
+LEASES = f"{BASE}/leases"
+LEASE = f"{LEASES}/a"
+
+
+def lease(version=None, **spec) -> dict:
+    metadata = {"name": "a"}
+    if version is not None:
+        metadata["resourceVersion"] = version
+    return {"metadata": metadata, "spec": spec}
+
+
+class ObjectApiTest(FakeTestCase):
+    """Guards against a stand-in that breaks the store's contract."""
+
+    async def asyncSetUp(self):
+        self.api = ObjectApi(history_length=3)
+        await self.async_use(self.api)
+
+    async def test_statuses_and_reasons(self):
+        large = {"metadata": {"name": "b"}, "spec": {"x": "y" * 1_100_000}}
+        condition = {"preconditions": {"resourceVersion": "2"}}
+        table = [
+            ("GET", LEASE, None, 404, "NotFound"),
+            ("POST", LEASES, lease(n=1), 201, None),
+            ("POST", LEASES, lease(n=1), 409, "AlreadyExists"),
+            ("GET", LEASE, None, 200, None),
+            ("PUT", LEASE, lease("2", n=2), 200, None),
+            ("PUT", LEASE, lease("2", n=3), 409, "Conflict"),
+            ("DELETE", LEASE, condition, 409, "Conflict"),
+            ("POST", LEASES, large, 413, "RequestEntityTooLarge"),
+            ("POST", LEASES, {}, 422, "Invalid"),
+            ("POST", f"{BASE}/instances", lease(), 405, "MethodNotAllowed"),
+            ("GET", f"{BASE}/others", None, 404, "NotFound"),
+            ("DELETE", LEASE, None, 200, None),
+        ]
+        for method, path, body, status, reason in table:
+            with self.subTest(method=method, path=path, status=status):
+                got, answer = await self.async_call(method, path, body)
+                self.assertEqual(status, got)
+                if reason is not None:
+                    self.assertEqual("Status", answer["kind"])
+                    self.assertEqual(reason, answer["reason"])
+                    self.assertEqual(status, answer["code"])
+        _, counters = await self.async_call("GET", "/admin/counters")
+        self.assertEqual(5, counters["calls"]["create"])
+        self.assertEqual(3, counters["statuses"]["409"])
+
+    async def test_watch_continues_a_list_without_a_gap(self):
+        _, listed = await self.async_call("GET", LEASES)
+        version = listed["metadata"]["resourceVersion"]
+        await self.async_call("POST", LEASES, lease(n=1))
+        url = f"{LEASES}?watch=true&timeoutSeconds=30&resourceVersion="
+        async with self.session.get(url + version) as response:
+            seen = [json.loads(await response.content.readline())]
+            await self.async_call("PUT", LEASE, lease(n=2))
+            await self.async_call("DELETE", LEASE)
+            while len(seen) < 3:
+                event = json.loads(await response.content.readline())
+                if event["type"] != "BOOKMARK":
+                    seen.append(event)
+        self.assertEqual(
+            ["ADDED", "MODIFIED", "DELETED"], [e["type"] for e in seen]
+        )
+        versions = [
+            int(e["object"]["metadata"]["resourceVersion"]) for e in seen
+        ]
+        self.assertEqual(sorted(set(versions)), versions)
+        self.assertGreater(versions[0], int(version))
+
+    async def test_watch_ends_at_its_timeout_with_a_bookmark(self):
+        url = f"{LEASES}?watch=true&timeoutSeconds=1.2&resourceVersion=1"
+        async with self.session.get(url) as response:
+            lines = (await response.text()).splitlines()
+        self.assertEqual("BOOKMARK", json.loads(lines[0])["type"])
+
+    async def test_watch_older_than_the_history_is_gone(self):
+        for number in range(5):
+            await self.async_call("POST", LEASES, lease(n=number))
+            await self.async_call("DELETE", LEASE)
+        status, answer = await self.async_call(
+            "GET", f"{LEASES}?watch=true&resourceVersion=2"
+        )
+        self.assertEqual((410, "Expired"), (status, answer["reason"]))
+
+    async def test_lost_answer_comes_after_the_effect(self):
+        await self.async_call("POST", "/admin/faults", {"lose_answers": 1})
+        await self.async_until(lambda: self.api.faults.lose_answers == 1)
+        with self.assertRaises(ClientError):
+            await self.async_call("POST", LEASES, lease(n=1))
+        status, answer = await self.async_call("GET", LEASE)
+        self.assertEqual((200, {"n": 1}), (status, answer["spec"]))
+
+    async def test_outages(self):
+        await self.async_call("POST", "/admin/faults", {"outage": "refuse"})
+        await self.async_until(lambda: self.api.faults.outage == "refuse")
+        with self.assertRaises(ClientError):
+            await self.async_call("GET", LEASES)
+        await self.api.async_set_faults(type(self.api.faults)())
+        self.assertEqual(200, (await self.async_call("GET", LEASES))[0])
+        faults = {"outage": "unavailable", "outage_s": 0.05}
+        await self.async_call("POST", "/admin/faults", faults)
+        await self.async_until(lambda: self.api.faults.outage == "unavailable")
+        await self.async_until(lambda: self.api.faults.outage == "none")
+
+    async def test_unavailable_answers_with_a_status(self):
+        faults = type(self.api.faults)(outage="unavailable")
+        await self.api.async_set_faults(faults)
+        status, answer = await self.async_call("GET", LEASES)
+        self.assertEqual((503, "Status"), (status, answer["kind"]))
+
+
+class ObjectApiLimitTest(FakeTestCase):
+    """Guards against a store without limits or without lag."""
+
+    async def test_rates_of_reads_and_writes_are_apart(self):
+        api = ObjectApi(reads_per_s=1000, writes_per_s=1)
+        await self.async_use(api)
+        await self.async_call("POST", LEASES, lease())
+        async with self.session.post(LEASES, json=lease()) as response:
+            self.assertEqual(429, response.status)
+            self.assertGreaterEqual(int(response.headers["Retry-After"]), 1)
+        self.assertEqual(200, (await self.async_call("GET", LEASE))[0])
+
+    async def test_instances_show_after_the_lag(self):
+        api = ObjectApi(instance_lag_s=0.2)
+        await self.async_use(api)
+        await self.async_call("PUT", "/admin/instances/i", {"role": "agent"})
+        path = f"{BASE}/instances"
+        _, before = await self.async_call("GET", path)
+        await self.async_until(lambda: api.objects.list_objects("instances"))
+        _, after = await self.async_call("GET", path)
+        self.assertEqual([], before["items"])
+        self.assertEqual("agent", after["items"][0]["spec"]["role"])
