Count a passed subtest with its test

nose2 reports each subtest with the outcome 'subtest', which the runner counted as failed: tests.fakes gave '26 passed, 28 failed' with no failing test. A failed subtest still counts as failed (trial with two of three failing subtests: exit code 1).

--- a/tests/run.py
+++ b/tests/run.py
@@ -45,7 +45,9 @@
             self.failed_known_red.append(test_id)
 
     def testOutcome(self, event):
-        """Count one outcome."""
+        """Count one outcome; a passed subtest counts with its test."""
+        if event.outcome == "subtest" and event.exc_info is None:
+            return
         if event.outcome == "skipped":
             self.skipped += 1
         elif event.outcome == "passed" and event.expected:
