--- /dev/null
+++ b/azurewick/membership/view.py
@@ -0,0 +1,231 @@
+"""Live backend servers and gateways: the lagging list and the traffic."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from azurewick.const import PROBE_FAILURES_UNTIL_LEAVING
+from azurewick.models import BackendServer
+from azurewick.models import GatewayInstance
+from azurewick.models import InstanceState
+from azurewick.models import LoadReport
+from azurewick.models import PoolKind
+
+# A server that failed returns at the earliest after this time. The time
+# doubles with each further loss, so that a server which works now and then
+# doesn't come and go with each probe.
+MINIMUM_ABSENCE_S = 1.0
+MAXIMUM_ABSENCE_S = 60.0
+# A returned server is on trial for this long: one failure takes it out.
+TRIAL_S = 10.0
+# After this time without a failure the absence starts small again.
+STABLE_S = 60.0
+# What traffic showed is kept this long after the list dropped the instance,
+# because the list may show it again while it still leaves.
+RETENTION_S = 600.0
+
+
+@dataclass(slots=True)
+class _Health:
+    """What traffic and notices have shown of one instance."""
+
+    failures: int = 0
+    suspected: bool = False
+    absent_until_s: float = 0.0
+    absence_s: float = MINIMUM_ABSENCE_S
+    trial_until_s: float = 0.0
+    last_failure_s: float = float("-inf")
+    announced_leaving: bool = False
+    incarnation: str = ""
+    reported_s: float = float("-inf")
+    touched_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _Instances:
+    servers: dict[str, BackendServer] = field(default_factory=dict)
+    gateways: dict[str, GatewayInstance] = field(default_factory=dict)
+
+
+class MembershipView:
+    """Decides which instances get new work.
+
+    An instance is left out when the list shows it as leaving or not at all,
+    when it announced that it leaves, or when it failed three times in a row.
+    """
+
+    def __init__(self) -> None:
+        self._instances = _Instances()
+        self._version = -1
+        self._health: dict[str, _Health] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the version of the list in use, -1 before the first."""
+        return self._version
+
+    def update_list(
+        self,
+        specs: Mapping[str, Mapping[str, Any]],
+        version: int,
+        now_s: float,
+    ) -> bool:
+        """Take the specs of a list by name; False when it is not newer."""
+        if version <= self._version:
+            return False
+        self._version = version
+        self._instances = _parse_instances(specs)
+        self._forget(now_s)
+        return True
+
+    def record_failure(
+        self, name: str, now_s: float, *, refused: bool = False
+    ) -> None:
+        """Count a failed offer or probe.
+
+        refused says that the connection was refused, which is enough to
+        take the instance out.
+        """
+        health = self._get_health(name, now_s)
+        if now_s - health.last_failure_s > STABLE_S:
+            health.absence_s = MINIMUM_ABSENCE_S
+        health.last_failure_s = now_s
+        health.failures += 1
+        if health.suspected:
+            return
+        if (
+            refused
+            or health.failures >= PROBE_FAILURES_UNTIL_LEAVING
+            or now_s < health.trial_until_s
+        ):
+            health.suspected = True
+            health.absent_until_s = now_s + health.absence_s
+            health.absence_s = min(MAXIMUM_ABSENCE_S, health.absence_s * 2)
+
+    def record_success(self, name: str, now_s: float) -> None:
+        """Count an answered offer or probe."""
+        health = self._health.get(name)
+        if health is None:
+            return
+        health.touched_s = now_s
+        health.failures = 0
+        if health.suspected and now_s >= health.absent_until_s:
+            health.suspected = False
+            health.trial_until_s = now_s + TRIAL_S
+
+    def record_leaving(
+        self, name: str, now_s: float, incarnation: str = ""
+    ) -> None:
+        """Take the notice of an instance that it leaves."""
+        health = self._get_health(name, now_s)
+        health.announced_leaving = True
+        health.reported_s = max(health.reported_s, now_s)
+        if incarnation:
+            health.incarnation = incarnation
+
+    def record_load(self, report: LoadReport, now_s: float) -> None:
+        """Take what a load report says of leaving and of restarts.
+
+        Only a report that was read later than the last one counts, so that
+        one from a slow relay doesn't undo a notice.
+        """
+        health = self._get_health(report.backend_server, now_s)
+        read_s = now_s - report.age_s
+        if read_s <= health.reported_s:
+            return
+        health.reported_s = read_s
+        restarted = health.incarnation not in ("", report.incarnation)
+        health.incarnation = report.incarnation
+        health.announced_leaving = report.draining
+        if restarted:
+            health.failures = 0
+            health.suspected = False
+            health.trial_until_s = now_s + TRIAL_S
+
+    def is_available(self, name: str) -> bool:
+        """Return whether nothing but the list speaks against new work."""
+        health = self._health.get(name)
+        return health is None or not (
+            health.announced_leaving or health.suspected
+        )
+
+    def backend_servers(self, pool: str) -> tuple[BackendServer, ...]:
+        """Return the servers of a pool that may get new work."""
+        return tuple(
+            server
+            for server in self._instances.servers.values()
+            if server.pool == pool
+            and server.state is InstanceState.LIVE
+            and self.is_available(server.name)
+        )
+
+    def gateways(self) -> tuple[GatewayInstance, ...]:
+        """Return the live gateways."""
+        return tuple(
+            gateway
+            for gateway in self._instances.gateways.values()
+            if gateway.state is InstanceState.LIVE
+            and self.is_available(gateway.name)
+        )
+
+    def servers_to_probe(self, limit: int) -> tuple[BackendServer, ...]:
+        """Return listed servers with a recent failure, suspects included.
+
+        The servers that waited longest for news come first.
+        """
+        waiting = [
+            (health.touched_s, name)
+            for name, health in self._health.items()
+            if (health.failures or health.suspected)
+            and name in self._instances.servers
+        ]
+        return tuple(
+            self._instances.servers[name]
+            for _, name in sorted(waiting)[:limit]
+        )
+
+    def _get_health(self, name: str, now_s: float) -> _Health:
+        health = self._health.setdefault(name, _Health())
+        health.touched_s = now_s
+        return health
+
+    def _forget(self, now_s: float) -> None:
+        listed = self._instances.servers.keys() | self._instances.gateways
+        for name, health in list(self._health.items()):
+            if name not in listed and now_s - health.touched_s > RETENTION_S:
+                del self._health[name]
+
+
+def _parse_instances(specs: Mapping[str, Mapping[str, Any]]) -> _Instances:
+    """Return the instances; entries that are not valid are left out."""
+    instances = _Instances()
+    for name, spec in specs.items():
+        try:
+            if spec["role"] == "gateway":
+                instances.gateways[name] = GatewayInstance(
+                    **_parse_common(name, spec)
+                )
+            else:
+                instances.servers[name] = BackendServer(
+                    **_parse_common(name, spec),
+                    address=spec["address"],
+                    pool=spec["pool"],
+                    kind=PoolKind(spec["kind"]),
+                    version=spec["version"],
+                )
+        except (KeyError, ValueError, TypeError):
+            continue
+    return instances
+
+
+def _parse_common(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        "name": name,
+        "region": spec["region"],
+        "failure_domain": spec["failure_domain"],
+        "control_address": spec["control_address"],
+        "state": InstanceState(spec["state"]),
+    }
--- /dev/null
+++ b/azurewick/membership/watcher.py
@@ -0,0 +1,107 @@
+"""Watch of one plural of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+from logging import getLogger
+from random import Random
+
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.platform.budget import Backoff
+from azurewick.platform.protocols import EventType
+from azurewick.platform.protocols import ObjectStore
+from azurewick.platform.protocols import StoredObject
+from azurewick.platform.protocols import WatchEvent
+
+_LOGGER = getLogger(__name__)
+
+# A store that stops without closing the connection is noticed after this.
+WATCH_TIMEOUT_S = 30.0
+# A store that ends each watch at once must not be asked in a busy loop.
+SHORTEST_WATCH_S = 1.0
+
+
+class StoreWatcher:
+    """Keeps the objects of a plural and reports each change.
+
+    on_change gets the objects by name and the version that they have.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        plural: str,
+        on_change: Callable[[Mapping[str, StoredObject], int], None],
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self._store = store
+        self._plural = plural
+        self._on_change = on_change
+        self._clock = clock
+        self._backoff = Backoff(random)
+        self._objects: dict[str, StoredObject] = {}
+        self._version: int | None = None
+        self._reachable: bool | None = None
+
+    async def async_run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            started_s = self._clock()
+            try:
+                if self._version is None:
+                    await self._async_list()
+                await self._async_watch()
+            except AzurewickError as err:
+                await self._async_handle_error(err)
+                continue
+            if self._clock() - started_s < SHORTEST_WATCH_S:
+                await asyncio.sleep(self._backoff.next_wait_s(0.1))
+
+    async def _async_list(self) -> None:
+        listed = await self._store.async_list(self._plural)
+        self._objects = {item.name: item for item in listed.items}
+        self._version = listed.version
+        self._set_reachable(True)
+        self._on_change(self._objects, listed.version)
+
+    async def _async_watch(self) -> None:
+        assert self._version is not None
+        async for event in self._store.async_watch(
+            self._plural, self._version, WATCH_TIMEOUT_S
+        ):
+            self._set_reachable(True)
+            self._apply(event)
+
+    def _apply(self, event: WatchEvent) -> None:
+        self._version = max(self._version or 0, event.version)
+        if event.object is None:
+            return
+        if event.type is EventType.DELETED:
+            self._objects.pop(event.object.name, None)
+        else:
+            self._objects[event.object.name] = event.object
+        self._on_change(self._objects, self._version)
+
+    async def _async_handle_error(self, err: AzurewickError) -> None:
+        if err.code is ErrorCode.STORE_WATCH_EXPIRED:
+            self._version = None
+        else:
+            self._set_reachable(False, err)
+        await asyncio.sleep(self._backoff.next_wait_s(err.retry_after_s))
+
+    def _set_reachable(
+        self, reachable: bool, err: AzurewickError | None = None
+    ) -> None:
+        if reachable:
+            self._backoff.reset()
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            _LOGGER.info("watch of %s established", self._plural)
+        else:
+            _LOGGER.warning("watch of %s failed: %s", self._plural, err)
--- /dev/null
+++ b/azurewick/platform/codec.py
@@ -0,0 +1,99 @@
+"""Conversion between stored objects and the object API's JSON."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from azurewick.platform.protocols import EventType
+from azurewick.platform.protocols import ObjectList
+from azurewick.platform.protocols import StoredObject
+from azurewick.platform.protocols import WatchEvent
+
+API_GROUP = "azurewick.dev"
+API_VERSION = f"{API_GROUP}/v1"
+API_PREFIX = f"/apis/{API_VERSION}"
+HTTP_GONE = 410
+
+KINDS: dict[str, str] = {
+    "claims": "Claim",
+    "configurations": "Configuration",
+    "instances": "Instance",
+    "leases": "Lease",
+    "versionmoves": "VersionMove",
+}
+
+
+class WatchExpiredError(ValueError):
+    """The watch event says that its version is too old."""
+
+
+def encode_object(item: StoredObject) -> bytes:
+    """Return the JSON of an object; version 0 is left out."""
+    metadata: dict[str, str] = {"name": item.name}
+    if item.version:
+        metadata["resourceVersion"] = str(item.version)
+    return orjson.dumps(
+        {
+            "apiVersion": API_VERSION,
+            "kind": KINDS.get(item.plural, item.plural),
+            "metadata": metadata,
+            "spec": item.spec,
+            "status": item.status,
+        }
+    )
+
+
+def decode_object(plural: str, body: Any) -> StoredObject:
+    """Return the object in a JSON document; ValueError when invalid."""
+    try:
+        metadata = body["metadata"]
+        item = StoredObject(
+            plural=plural,
+            name=metadata["name"],
+            version=int(metadata["resourceVersion"]),
+            spec=body.get("spec") or {},
+            status=body.get("status") or {},
+        )
+    except (KeyError, TypeError, AttributeError) as err:
+        raise ValueError(f"invalid object of {plural}: {err!r}") from err
+    if not isinstance(item.name, str) or not (
+        isinstance(item.spec, dict) and isinstance(item.status, dict)
+    ):
+        raise ValueError(f"invalid object of {plural}")
+    return item
+
+
+def decode_list(plural: str, body: Any) -> ObjectList:
+    """Return the list in a JSON document; ValueError when invalid."""
+    try:
+        return ObjectList(
+            version=int(body["metadata"]["resourceVersion"]),
+            items=tuple(decode_object(plural, one) for one in body["items"]),
+        )
+    except (KeyError, TypeError) as err:
+        raise ValueError(f"invalid list of {plural}: {err!r}") from err
+
+
+def decode_event(plural: str, line: bytes) -> WatchEvent:
+    """Return the event in a line of a watch.
+
+    Raises WatchExpiredError for an error event with code 410 and ValueError
+    for any other line that is no event.
+    """
+    body = orjson.loads(line)
+    try:
+        if body["type"] == "ERROR":
+            code = body["object"].get("code")
+            if code == HTTP_GONE:
+                raise WatchExpiredError(f"watch of {plural} expired")
+            raise ValueError(f"watch of {plural} failed with code {code}")
+        event_type = EventType(body["type"])
+        if event_type is EventType.BOOKMARK:
+            version = int(body["object"]["metadata"]["resourceVersion"])
+            return WatchEvent(type=event_type, version=version)
+        item = decode_object(plural, body["object"])
+    except (KeyError, TypeError, AttributeError) as err:
+        raise ValueError(f"invalid event of {plural}: {err!r}") from err
+    return WatchEvent(type=event_type, version=item.version, object=item)
--- /dev/null
+++ b/tests/membership/test_view.py
@@ -0,0 +1,113 @@
+"""Tests of the membership view."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from azurewick.membership.view import MAXIMUM_ABSENCE_S
+from azurewick.membership.view import MembershipView
+from tests.membership.builders import agent_spec
+from tests.membership.builders import load_report
+
+NAME = "agent-1"
+
+
+def fail(view, at_s):
+    view.record_failure(NAME, at_s)
+
+
+def refuse(view, at_s):
+    view.record_failure(NAME, at_s, refused=True)
+
+
+def succeed(view, at_s):
+    view.record_success(NAME, at_s)
+
+
+def load(**fields):
+    return lambda view, at_s: view.record_load(load_report(**fields), at_s)
+
+
+def leave(view, at_s):
+    view.record_leaving(NAME, at_s)
+
+
+def listed(state, version):
+    return lambda view, at_s: view.update_list(
+        {NAME: agent_spec(state)}, version, at_s
+    )
+
+
+class MembershipViewTest(TestCase):
+    """Guards against new work for a server that leaves or is lost."""
+
+    def test_fault_table(self):
+        for name, steps, available in (
+            ("list only", [], True),
+            ("list says leaving", [listed("leaving", 11)], False),
+            ("old list is ignored", [listed("leaving", 9)], True),
+            ("two failures", [fail, fail], True),
+            ("three failures", [fail, fail, fail], False),
+            ("success between", [fail, fail, succeed, fail], True),
+            ("refused connection", [refuse], False),
+            ("success too early", [refuse, succeed], False),
+            ("later success", [refuse, None, None, succeed], True),
+            (
+                "one failure on trial",
+                [refuse, None, None, succeed, fail],
+                False,
+            ),
+            ("notice", [leave], False),
+            ("draining report", [load(draining=True)], False),
+            (
+                "newer list after a notice",
+                [leave, listed("live", 11)],
+                False,
+            ),
+            (
+                "earlier report from a slow relay after a notice",
+                [leave, load(age_s=5.0)],
+                False,
+            ),
+            ("resumed", [load(draining=True), load()], True),
+            (
+                "restarted after a loss",
+                [load(), refuse, load(incarnation="i2")],
+                True,
+            ),
+        ):
+            with self.subTest(name):
+                view = MembershipView()
+                view.update_list({NAME: agent_spec()}, 10, 0.0)
+                for index, step in enumerate(steps):
+                    if step is not None:
+                        step(view, 100.0 + index * 0.5)
+                servers = view.backend_servers("chat")
+                self.assertEqual(available, bool(servers))
+
+    def test_repeated_loss_is_absent_for_longer(self):
+        """Guards against a server that comes and goes with each probe."""
+        view = MembershipView()
+        view.update_list({NAME: agent_spec()}, 1, 0.0)
+        now_s = 0.0
+        changes = 0
+        was_available = True
+        while now_s < 600.0:
+            is_probe_answered = round(now_s) % 2 == 0
+            record = succeed if is_probe_answered else refuse
+            record(view, now_s)
+            available = bool(view.backend_servers("chat"))
+            changes += available != was_available
+            was_available = available
+            now_s += 1.0
+        self.assertLess(changes, 2 * (7 + 600 / MAXIMUM_ABSENCE_S))
+
+    def test_probes_go_to_failing_servers_only(self):
+        view = MembershipView()
+        specs = {f"agent-{n}": agent_spec() for n in range(3)}
+        view.update_list(specs, 1, 0.0)
+        view.record_failure("agent-2", 2.0)
+        view.record_failure(NAME, 1.0)
+        view.record_failure("unlisted", 1.0)
+        names = [server.name for server in view.servers_to_probe(8)]
+        self.assertEqual([NAME, "agent-2"], names)
--- /dev/null
+++ b/tests/platform/builders.py
@@ -0,0 +1,147 @@
+"""In-memory object store for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from typing import Any
+
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
+from azurewick.errors import Step
+from azurewick.platform.protocols import EventType
+from azurewick.platform.protocols import ObjectList
+from azurewick.platform.protocols import StoredObject
+from azurewick.platform.protocols import WatchEvent
+
+
+def store_error(
+    code: ErrorCode, outcome: Outcome = Outcome.NOT_RUN
+) -> AzurewickError:
+    return AzurewickError(code, "injected", step=Step.STORE, outcome=outcome)
+
+
+class MemoryStore:
+    """ObjectStore with an outage and lost answers to writes.
+
+    lose_answers is the number of next writes that take effect, but whose
+    answers are lost.
+    """
+
+    def __init__(self):
+        self.version = 0
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.events: list[WatchEvent] = []
+        self.changed = asyncio.Event()
+        self.is_down = False
+        self.lose_answers = 0
+        self.calls: list[str] = []
+
+    def set_down(self, is_down: bool) -> None:
+        self.is_down = is_down
+        self._wake()
+
+    def put(self, plural: str, name: str, spec: dict) -> StoredObject:
+        """Write without a condition, as another client would."""
+        return self._write(
+            StoredObject(plural=plural, name=name, version=0, spec=spec)
+        )
+
+    async def async_get(self, plural: str, name: str) -> StoredObject:
+        self._call("get")
+        if (plural, name) not in self.objects:
+            raise store_error(ErrorCode.STORE_NOT_FOUND)
+        return self.objects[plural, name]
+
+    async def async_list(self, plural: str) -> ObjectList:
+        self._call("list")
+        items = tuple(
+            item for key, item in self.objects.items() if key[0] == plural
+        )
+        return ObjectList(version=self.version, items=items)
+
+    async def async_create(
+        self,
+        plural: str,
+        name: str,
+        spec: dict[str, Any],
+        status: dict[str, Any] | None = None,
+    ) -> StoredObject:
+        self._call("create")
+        if (plural, name) in self.objects:
+            raise store_error(ErrorCode.STORE_CONFLICT)
+        item = StoredObject(
+            plural=plural, name=name, version=0, spec=spec, status=status or {}
+        )
+        return self._answer(self._write(item))
+
+    async def async_update(self, item: StoredObject) -> StoredObject:
+        self._call("update")
+        self._check_version(item)
+        return self._answer(self._write(item))
+
+    async def async_delete(self, item: StoredObject) -> None:
+        self._call("delete")
+        self._check_version(item)
+        del self.objects[item.plural, item.name]
+        self._record(EventType.DELETED, item)
+
+    async def async_watch(
+        self, plural: str, after_version: int, timeout_s: float
+    ) -> AsyncIterator[WatchEvent]:
+        self._call("watch")
+        position = 0
+        while True:
+            while position < len(self.events):
+                event = self.events[position]
+                position += 1
+                if event.version > after_version and (
+                    event.object.plural == plural
+                ):
+                    yield event
+            changed = self.changed
+            await changed.wait()
+            if self.is_down:
+                raise store_error(ErrorCode.STORE_UNAVAILABLE)
+
+    def _call(self, kind: str) -> None:
+        self.calls.append(kind)
+        if self.is_down:
+            raise store_error(ErrorCode.STORE_UNAVAILABLE)
+
+    def _check_version(self, item: StoredObject) -> None:
+        current = self.objects.get((item.plural, item.name))
+        if current is None:
+            raise store_error(ErrorCode.STORE_NOT_FOUND)
+        if current.version != item.version:
+            raise store_error(ErrorCode.STORE_CONFLICT)
+
+    def _write(self, item: StoredObject) -> StoredObject:
+        key = (item.plural, item.name)
+        event_type = (
+            EventType.MODIFIED if key in self.objects else EventType.ADDED
+        )
+        written = self._record(event_type, item)
+        self.objects[key] = written
+        return written
+
+    def _record(self, event_type: EventType, item: StoredObject):
+        self.version += 1
+        written = replace(item, version=self.version)
+        self.events.append(
+            WatchEvent(type=event_type, version=self.version, object=written)
+        )
+        self._wake()
+        return written
+
+    def _answer(self, item: StoredObject) -> StoredObject:
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise store_error(ErrorCode.STORE_UNAVAILABLE, Outcome.UNKNOWN)
+        return item
+
+    def _wake(self) -> None:
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
