Add the gateway daemon

The gateway was a stub. It now takes requests through a filter chain, offers them to one agent at a time over POST /v1/dispatch, streams the answer, joins duplicates by idempotency key, confirms the admission floor before it sheds, and drains on SIGTERM. Parts owned by other packages are protocols with thin defaults in gateway/wiring.py.

--- a/azurewick/gateway/application.py
+++ b/azurewick/gateway/application.py
@@ -2,9 +2,142 @@
 
 from __future__ import annotations
 
+from asyncio import sleep
+from asyncio import timeout
+from logging import getLogger
+from random import Random
+from typing import Any
+
+from aiohttp.web import ServerRunner
+from aiohttp.web import TCPSite
+from aiomisc import entrypoint
+from aiomisc import Service
+from grpclib.server import Server
+
+from azurewick.gateway.execution import RequestExecutor
+from azurewick.gateway.server import CallerHandler
+from azurewick.gateway.server import CallerServer
+from azurewick.gateway.wiring import build_components
+from azurewick.gateway.wiring import build_control_server
+from azurewick.gateway.wiring import GatewayComponents
+from azurewick.helpers.address import split_address
 from azurewick.settings.models import GatewaySettings
 
+_LOGGER = getLogger(__name__)
+
+# Time to close connections and background services after the drain.
+CLOSE_TIMEOUT_S = 10.0
+
+
+class Gateway:
+    """Servers and services of one gateway."""
+
+    def __init__(
+        self, components: GatewayComponents, random: Random | None = None
+    ) -> None:
+        self.components = components
+        self.executor = RequestExecutor(components)
+        self.handler = CallerHandler(
+            components, self.executor, random or Random()
+        )
+        self._runner: ServerRunner | None = None
+        self._control: Server | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port that callers connect to."""
+        assert self._runner is not None
+        return int(self._runner.addresses[0][1])
+
+    async def async_start(self) -> None:
+        """Start the services, then listen for callers."""
+        components = self.components
+        settings = components.settings
+        await components.agents.async_start()
+        await components.cluster.async_start()
+        for service in components.services:
+            await service.async_start()
+        self._control = build_control_server(components)
+        if self._control is not None:
+            host, port = split_address(settings.control_address)
+            await self._control.start(host, port)
+        await components.metrics.async_start(settings.metrics_address)
+        server = CallerServer(
+            self.handler.async_handle,
+            header_timeout_s=settings.header_timeout_s,
+            max_connections=settings.max_connections,
+        )
+        self._runner = ServerRunner(server, shutdown_timeout=1.0)
+        await self._runner.setup()
+        host, port = split_address(settings.address)
+        await TCPSite(self._runner, host, port).start()
+        _LOGGER.info("gateway %s listens on %s", settings.name, self.port)
+
+    async def async_drain(self) -> None:
+        """Refuse new work and wait until the running requests end."""
+        settings = self.components.settings
+        self.handler.readiness.draining = True
+        _LOGGER.info(
+            "draining with %d running requests", len(self.executor.requests)
+        )
+        # The listener stays open until the load balancer has noticed.
+        await sleep(settings.drain_delay_s)
+        try:
+            async with timeout(settings.drain_timeout_s):
+                await self.executor.requests.async_wait_idle()
+                await self.handler.async_wait_idle()
+        except TimeoutError:
+            _LOGGER.warning(
+                "%d requests still run after %g s",
+                len(self.executor.requests),
+                settings.drain_timeout_s,
+            )
+
+    async def async_stop(self) -> None:
+        """Close the servers and stop the services."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        components = self.components
+        await components.metrics.async_stop()
+        if self._control is not None:
+            self._control.close()
+            await self._control.wait_closed()
+        for service in reversed(components.services):
+            await service.async_stop()
+        await components.cluster.async_stop()
+        await components.floor.async_stop()
+        await components.agents.async_stop()
+
+
+class GatewayService(Service):
+    """aiomisc service that runs a gateway until SIGTERM."""
+
+    def __init__(self, settings: GatewaySettings, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self._settings = settings
+        self._gateway: Gateway | None = None
+
+    async def start(self) -> None:
+        """Start the gateway."""
+        self._gateway = Gateway(build_components(self._settings))
+        await self._gateway.async_start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drain the gateway and stop it."""
+        if self._gateway is None:
+            return
+        await self._gateway.async_drain()
+        await self._gateway.async_stop()
+
 
 def run_gateway(settings: GatewaySettings) -> int:
     """Run the gateway until it is stopped and return the exit code."""
-    raise NotImplementedError
+    with entrypoint(
+        GatewayService(settings),
+        log_config=False,
+        shutdown_timeout=settings.drain_delay_s
+        + settings.drain_timeout_s
+        + CLOSE_TIMEOUT_S,
+    ) as loop:
+        loop.run_forever()
+    return 0
--- /dev/null
+++ b/azurewick/gateway/context.py
@@ -0,0 +1,107 @@
+"""State of one caller's request on its way through the gateway."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from hashlib import sha256
+from itertools import count
+from secrets import token_hex
+
+from aiohttp.streams import StreamReader
+
+from azurewick.models import Customer
+from azurewick.models import RequestClass
+
+# Width of the keys and fingerprints in bytes: 128 bits make a collision
+# among the requests of a day negligible.
+_DIGEST_BYTES = 16
+
+
+@dataclass(kw_only=True, slots=True)
+class RequestContext:
+    """Request of a caller; the filters fill it in step by step.
+
+    received_s is monotonic time. pool is set for plain services only until
+    the class is known.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    payload: StreamReader | None
+    received_s: float
+    request_id: str
+    pool: str = ""
+    header_bytes: int = 0
+    header_fields: int = 0
+    content_type: str = "application/json"
+    body: bytes = b""
+    idempotency_key: str = ""
+    fingerprint: str = ""
+    customer: Customer = field(init=False)
+    request_class: RequestClass = field(init=False)
+
+    @property
+    def class_label(self) -> str:
+        """Return the class name, empty before the class is known."""
+        request_class = getattr(self, "request_class", None)
+        return request_class.name if request_class is not None else ""
+
+    @property
+    def deadline_s(self) -> float | None:
+        """Return the monotonic time at which the target is missed."""
+        budget_s = self.request_class.target.start_budget_s
+        return None if budget_s is None else self.received_s + budget_s
+
+    @property
+    def claim_key(self) -> str:
+        """Return the key that identifies a request and its resends.
+
+        It covers the customer, so that no customer can reach the request of
+        another one. It is empty without an idempotency key.
+        """
+        if not self.idempotency_key:
+            return ""
+        return digest(
+            self.customer.name, self.request_class.name, self.idempotency_key
+        )
+
+
+class RequestIds:
+    """Request ids: name and incarnation of the gateway, and a counter."""
+
+    def __init__(self, name: str, incarnation: str | None = None) -> None:
+        self.incarnation = incarnation or token_hex(6)
+        self._prefix = f"{name}.{self.incarnation}."
+        self._counter = count(1)
+
+    def create(self) -> str:
+        """Return an id that no other request has."""
+        return f"{self._prefix}{next(self._counter)}"
+
+
+def digest(*parts: str | bytes) -> str:
+    """Return the first 16 bytes of the SHA-256 of the parts in hex."""
+    state = sha256()
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        # The length keeps ("ab", "c") apart from ("a", "bc").
+        state.update(len(data).to_bytes(4, "big"))
+        state.update(data)
+    return state.digest()[:_DIGEST_BYTES].hex()
+
+
+def build_fingerprint(context: RequestContext) -> str:
+    """Return the fingerprint of a request's class and content.
+
+    Method and path are part of the content of calls to plain services:
+    their bodies are often empty.
+    """
+    return digest(
+        context.request_class.name,
+        context.method,
+        context.path,
+        context.body,
+    )
--- a/azurewick/gateway/filters/__init__.py
+++ b/azurewick/gateway/filters/__init__.py
@@ -1,1 +1,1 @@
-"""Filter chain of the gateway."""
+"""Filters of the requests from callers."""
--- /dev/null
+++ b/azurewick/gateway/filters/admission.py
@@ -0,0 +1,97 @@
+"""Filters that decide whether the gateway takes a request."""
+
+from __future__ import annotations
+
+from azurewick.const import HEADER_IDEMPOTENCY_KEY
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.gateway.context import build_fingerprint
+from azurewick.gateway.context import RequestContext
+from azurewick.gateway.protocols import ClusterState
+from azurewick.gateway.protocols import CustomerLimiter
+from azurewick.gateway.protocols import PoisonDetector
+from azurewick.helpers.clock import monotonic_s
+
+RETRY_AFTER_DRAINING_S = 1.0
+RETRY_AFTER_NOT_READY_S = 1.0
+
+
+class ReadinessFilter:
+    """Refuses work before the start is complete and while draining."""
+
+    def __init__(self, cluster: ClusterState) -> None:
+        self._cluster = cluster
+        self.draining = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether the gateway takes new work."""
+        return not self.draining and self._cluster.is_ready
+
+    async def async_apply(self, context: RequestContext) -> None:
+        """Refuse the request unless the gateway is ready."""
+        if self.draining:
+            raise AzurewickError(
+                ErrorCode.DRAINING,
+                "gateway is shutting down",
+                step=Step.RECEIVE,
+                retry_after_s=RETRY_AFTER_DRAINING_S,
+            )
+        if not self._cluster.is_ready:
+            raise AzurewickError(
+                ErrorCode.NOT_READY,
+                "gateway has no view of the cluster yet",
+                step=Step.RECEIVE,
+                retry_after_s=RETRY_AFTER_NOT_READY_S,
+            )
+
+
+class CustomerLimitFilter:
+    """Keeps each customer to its rate."""
+
+    def __init__(self, limiter: CustomerLimiter) -> None:
+        self._limiter = limiter
+
+    async def async_apply(self, context: RequestContext) -> None:
+        """Refuse the request when its customer is above the rate."""
+        wait_s = self._limiter.take(context.customer, monotonic_s())
+        if wait_s is not None:
+            raise AzurewickError(
+                ErrorCode.RATE_LIMITED,
+                "customer exceeds its rate",
+                step=Step.LIMIT,
+                retry_after_s=wait_s,
+            )
+
+
+class PoisonFilter:
+    """Refuses requests that have crashed backend servers."""
+
+    def __init__(self, detector: PoisonDetector) -> None:
+        self._detector = detector
+
+    async def async_apply(self, context: RequestContext) -> None:
+        """Set the fingerprint; refuse it when it is poison."""
+        context.fingerprint = build_fingerprint(context)
+        if self._detector.is_poison(context.fingerprint, monotonic_s()):
+            raise AzurewickError(
+                ErrorCode.POISON_REQUEST,
+                "request content has crashed several backend servers",
+                step=Step.SELECT,
+            )
+
+
+class IdempotencyKeyFilter:
+    """Requires an idempotency key for non-repeatable classes."""
+
+    async def async_apply(self, context: RequestContext) -> None:
+        """Refuse non-repeatable requests without a key."""
+        if context.request_class.repeatable or context.idempotency_key:
+            return
+        raise AzurewickError(
+            ErrorCode.IDEMPOTENCY_KEY_REQUIRED,
+            f"class {context.request_class.name} needs the header"
+            f" {HEADER_IDEMPOTENCY_KEY}",
+            step=Step.CLASSIFY,
+        )
--- /dev/null
+++ b/azurewick/gateway/filters/limits.py
@@ -0,0 +1,122 @@
+"""Filters that bound the memory and time of bad input."""
+
+from __future__ import annotations
+
+from asyncio import timeout
+import json
+
+from aiohttp import ClientError
+from aiohttp.web import RequestPayloadError
+
+from azurewick.const import HEADER_IDEMPOTENCY_KEY
+from azurewick.const import MAX_HEADER_BYTES
+from azurewick.const import MAX_HEADER_FIELDS
+from azurewick.const import PATH_CHAT_COMPLETIONS
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.gateway.context import RequestContext
+
+# A path travels in the offer header, whose line the agent's parser limits
+# to 8,190 bytes.
+MAX_PATH_BYTES = 2048
+MAX_IDEMPOTENCY_KEY_BYTES = 255
+# 1 MiB in 30 s needs 35 KB/s, which slow mobile links reach.
+BODY_TIMEOUT_S = 30.0
+
+
+def refuse(code: ErrorCode, message: str) -> AzurewickError:
+    """Return the error of input that is refused at its receipt."""
+    return AzurewickError(code, message, step=Step.RECEIVE)
+
+
+class HeaderLimitFilter:
+    """Limits the size and the form of the request's head."""
+
+    async def async_apply(self, context: RequestContext) -> None:
+        """Refuse large heads, long paths and encoded bodies."""
+        if (
+            context.header_bytes > MAX_HEADER_BYTES
+            or context.header_fields > MAX_HEADER_FIELDS
+        ):
+            raise refuse(
+                ErrorCode.HEADERS_TOO_LARGE,
+                f"headers exceed {MAX_HEADER_BYTES} bytes or"
+                f" {MAX_HEADER_FIELDS} fields",
+            )
+        if len(context.path) > MAX_PATH_BYTES:
+            raise refuse(
+                ErrorCode.INVALID_REQUEST,
+                f"path exceeds {MAX_PATH_BYTES} bytes",
+            )
+        # Decoding would allow a small body to become a large one.
+        encoding = context.headers.get("Content-Encoding", "identity")
+        if encoding != "identity":
+            raise refuse(
+                ErrorCode.INVALID_REQUEST, "encoded bodies are not accepted"
+            )
+        key = context.headers.get(HEADER_IDEMPOTENCY_KEY, "")
+        if len(key) > MAX_IDEMPOTENCY_KEY_BYTES or not key.isprintable():
+            raise refuse(
+                ErrorCode.INVALID_REQUEST,
+                f"{HEADER_IDEMPOTENCY_KEY} exceeds"
+                f" {MAX_IDEMPOTENCY_KEY_BYTES} printable characters",
+            )
+        context.idempotency_key = key
+
+
+class BodyFilter:
+    """Reads the body within its limits of size and time."""
+
+    def __init__(
+        self, max_body_bytes: int, timeout_s: float = BODY_TIMEOUT_S
+    ) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._timeout_s = timeout_s
+
+    async def async_apply(self, context: RequestContext) -> None:
+        """Read the body; refuse large, late and malformed ones."""
+        length = context.headers.get("Content-Length", "0")
+        if not length.isdigit() or int(length) > self._max_body_bytes:
+            raise self._too_large()
+        try:
+            async with timeout(self._timeout_s):
+                context.body = await self._async_read(context)
+        except TimeoutError as err:
+            raise refuse(
+                ErrorCode.INVALID_REQUEST,
+                f"body is not complete after {self._timeout_s:g} s",
+            ) from err
+        except (ClientError, RequestPayloadError, ValueError) as err:
+            raise refuse(
+                ErrorCode.INVALID_REQUEST, "body is malformed"
+            ) from err
+        if context.path == PATH_CHAT_COMPLETIONS:
+            _check_json_object(context.body)
+
+    async def _async_read(self, context: RequestContext) -> bytes:
+        if context.payload is None:
+            return b""
+        parts: list[bytes] = []
+        size = 0
+        async for part in context.payload.iter_any():
+            size += len(part)
+            if size > self._max_body_bytes:
+                raise self._too_large()
+            parts.append(part)
+        return b"".join(parts)
+
+    def _too_large(self) -> AzurewickError:
+        return refuse(
+            ErrorCode.BODY_TOO_LARGE,
+            f"body exceeds {self._max_body_bytes} bytes",
+        )
+
+
+def _check_json_object(body: bytes) -> None:
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as err:
+        raise refuse(ErrorCode.INVALID_REQUEST, "body is not JSON") from err
+    if not isinstance(document, dict):
+        raise refuse(ErrorCode.INVALID_REQUEST, "body is not a JSON object")
--- /dev/null
+++ b/azurewick/gateway/pool.py
@@ -0,0 +1,199 @@
+"""State of one pool in a gateway: router, retry budget and suspects."""
+
+from __future__ import annotations
+
+from asyncio import Event
+from asyncio import timeout
+
+from aiohttp import ClientResponse
+
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.gateway.agent_client import parse_load
+from azurewick.gateway.context import RequestContext
+from azurewick.gateway.wiring import GatewayComponents
+from azurewick.helpers.clock import monotonic_s
+from azurewick.models import BackendServer
+from azurewick.models import LoadReport
+from azurewick.models import Offer
+from azurewick.poison.placement import SuspectPlacement
+from azurewick.routing.models import OfferResult
+from azurewick.routing.models import OfferStatus
+
+# A suspect without a target waits this long for its server.
+SUSPECT_WAIT_S = 30.0
+# English and Spanish texts have about four bytes per token.
+BYTES_PER_TOKEN = 4
+
+
+class PoolState:
+    """Chooses servers for the requests of one pool."""
+
+    def __init__(self, name: str, components: GatewayComponents) -> None:
+        self.name = name
+        self.router = components.create_router()
+        self.retry_budget = components.create_retry_budget()
+        self.reports: dict[str, LoadReport] = {}
+        self._components = components
+        self._servers: dict[str, BackendServer] = {}
+        self._placement = SuspectPlacement()
+        self._suspect_ended = Event()
+
+    def refresh(self, now_s: float) -> None:
+        """Take the live servers from the cluster state."""
+        servers = self._components.cluster.backend_servers(self.name, now_s)
+        current = {server.name: server for server in servers}
+        if current == self._servers:
+            return
+        self._servers = current
+        self.reports = {
+            name: report
+            for name, report in self.reports.items()
+            if name in current
+        }
+        self.router.update_servers(servers)
+        self._components.floor.observe_servers(self.name, servers)
+
+    @property
+    def servers(self) -> tuple[BackendServer, ...]:
+        """Return the servers that get new work."""
+        return tuple(self._servers.values())
+
+    async def async_choose(
+        self, context: RequestContext, excluded: frozenset[str]
+    ) -> BackendServer | AzurewickError:
+        """Return the server for the next offer, or why there is none."""
+        now_s = monotonic_s()
+        self.refresh(now_s)
+        detector = self._components.poison
+        if detector.is_suspect(context.fingerprint, now_s):
+            return await self._async_choose_for_suspect(context, excluded)
+        if _is_late(context, now_s):
+            return _missed_target()
+        offer = self.build_offer(context, "")
+        versions = {server.version for server in self._servers.values()}
+        version = self._components.versions.choose(offer, versions, now_s)
+        name = self.router.choose(
+            offer, excluded=excluded, version=version, now_s=now_s
+        )
+        if name is None or name not in self._servers:
+            return _no_server()
+        return self._servers[name]
+
+    async def _async_choose_for_suspect(
+        self, context: RequestContext, excluded: frozenset[str]
+    ) -> BackendServer | AzurewickError:
+        deadline_s = context.deadline_s
+        limit_s = monotonic_s() + SUSPECT_WAIT_S
+        if deadline_s is not None:
+            limit_s = min(limit_s, deadline_s)
+        while (now_s := monotonic_s()) < limit_s:
+            self.refresh(now_s)
+            names = self._servers.keys() - excluded
+            if not names:
+                return _no_server()
+            if self._components.poison.is_poison(context.fingerprint, now_s):
+                raise AzurewickError(
+                    ErrorCode.POISON_REQUEST,
+                    "request content has crashed several backend servers",
+                    step=Step.SELECT,
+                )
+            name = self._placement.acquire(
+                context.fingerprint, context.request_id, names
+            )
+            if name is not None:
+                return self._servers[name]
+            self._suspect_ended.clear()
+            try:
+                async with timeout(min(limit_s - now_s, 1.0)):
+                    await self._suspect_ended.wait()
+            except TimeoutError:
+                continue
+        return _missed_target()
+
+    def release(self, context: RequestContext, server: BackendServer) -> None:
+        """Note that an offer has ended."""
+        self._placement.release(context.request_id, server.name)
+        self._suspect_ended.set()
+
+    def build_offer(self, context: RequestContext, server: str) -> Offer:
+        """Return the offer with the time that is left now."""
+        request_class = context.request_class
+        report = self.reports.get(server)
+        deadline_s = context.deadline_s
+        prefix_hashes = self._components.hash_prefix(context.body)
+        return Offer(
+            request_id=context.request_id,
+            customer=context.customer.name,
+            request_class=request_class.name,
+            tier=request_class.tier,
+            method=context.method,
+            path=context.path,
+            content_type=context.content_type,
+            budget_s=(
+                None
+                if deadline_s is None
+                else max(0.0, deadline_s - monotonic_s())
+            ),
+            prompt_tokens=len(context.body) // BYTES_PER_TOKEN,
+            expected_output_tokens=self._components.predictor.predict(
+                context.customer.name, request_class.name
+            ),
+            repeatable=request_class.repeatable,
+            fingerprint=context.fingerprint,
+            claim_key="" if request_class.repeatable else context.claim_key,
+            incarnation="" if report is None else report.incarnation,
+            prefix_hashes=prefix_hashes,
+        )
+
+    def take_load(
+        self, response: ClientResponse, name: str
+    ) -> LoadReport | None:
+        """Take the load report of a response if it is that server's."""
+        report = parse_load(response)
+        if report is None or report.backend_server != name:
+            return None
+        now_s = monotonic_s()
+        self.reports[name] = report
+        self.router.record_report(report, now_s)
+        self._components.cluster.record_load(report, now_s)
+        return report
+
+    def record_result(
+        self,
+        offer: Offer,
+        server: BackendServer,
+        result: OfferResult,
+        now_s: float,
+    ) -> None:
+        """Tell the router, the rollouts and the predictor of a result."""
+        self.router.record_result(offer, server.name, result, now_s)
+        self._components.versions.record_result(
+            offer, server.version, result, now_s
+        )
+        if result.status is OfferStatus.FINISHED and result.output_tokens:
+            self._components.predictor.record(
+                offer.customer, offer.request_class, result.output_tokens
+            )
+
+
+def _is_late(context: RequestContext, now_s: float) -> bool:
+    deadline_s = context.deadline_s
+    return deadline_s is not None and now_s >= deadline_s
+
+
+def _missed_target() -> AzurewickError:
+    return AzurewickError(
+        ErrorCode.TARGET_UNREACHABLE,
+        "the target's time is over before a server was free",
+        step=Step.SELECT,
+    )
+
+
+def _no_server() -> AzurewickError:
+    return AzurewickError(
+        ErrorCode.OVERLOADED,
+        "no backend server of the pool takes the request",
+        step=Step.SELECT,
+    )
--- /dev/null
+++ b/azurewick/gateway/responder.py
@@ -0,0 +1,142 @@
+"""Answers and errors written to the callers."""
+
+from __future__ import annotations
+
+from asyncio import CancelledError
+from asyncio import get_running_loop
+from asyncio import timeout
+import json
+from math import ceil
+from random import Random
+from typing import Final
+
+from aiohttp.web import BaseRequest
+from aiohttp.web import json_response
+from aiohttp.web import Response
+from aiohttp.web import StreamResponse
+
+from azurewick.const import HEADER_CLAIM_REPLAYED
+from azurewick.const import HEADER_REQUEST_ID
+from azurewick.const import HEADER_RETRY_AFTER
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import SHED_CODES
+from azurewick.gateway.running import RunningRequest
+from azurewick.gateway.streaming import AnswerReader
+from azurewick.gateway.streaming import ReaderTooSlowError
+
+# A caller that takes no byte for this long is gone or holds up an engine.
+WRITE_TIMEOUT_S = 30.0
+# Time for the error event to leave before the connection is aborted.
+ABORT_DELAY_S = 5.0
+DEFAULT_RETRY_AFTER_S = 2.0
+# Callers that were refused together return over three times the base.
+RETRY_SPREAD = 3.0
+RETRY_CODES: Final = SHED_CODES | {
+    ErrorCode.DRAINING,
+    ErrorCode.NOT_READY,
+    ErrorCode.STORE_UNAVAILABLE,
+    ErrorCode.RATE_LIMITED,
+    ErrorCode.BACKEND_UNREACHABLE,
+}
+
+
+class Responder:
+    """Writes answers to callers."""
+
+    def __init__(
+        self, random: Random, write_timeout_s: float = WRITE_TIMEOUT_S
+    ) -> None:
+        self._random = random
+        self._write_timeout_s = write_timeout_s
+
+    def spread_retry(self, error: AzurewickError) -> float | None:
+        """Return the time after which this caller may try again."""
+        base_s = error.retry_after_s
+        if base_s is None:
+            if error.code not in RETRY_CODES:
+                return None
+            base_s = DEFAULT_RETRY_AFTER_S
+        return round(base_s * self._random.uniform(1.0, RETRY_SPREAD), 3)
+
+    def build_error(
+        self, error: AzurewickError, request_id: str = ""
+    ) -> Response:
+        """Return the response of an error."""
+        body = error.as_body()
+        retry_after_s = self.spread_retry(error)
+        body["error"]["retry_after_s"] = retry_after_s
+        response = json_response(body, status=error.http_status)
+        if request_id:
+            response.headers[HEADER_REQUEST_ID] = request_id
+        if retry_after_s is not None:
+            response.headers[HEADER_RETRY_AFTER] = str(ceil(retry_after_s))
+        return response
+
+    async def async_write(
+        self, request: BaseRequest, running: RunningRequest, request_id: str
+    ) -> StreamResponse:
+        """Write the answer of a run to one caller.
+
+        Raises AzurewickError before the first byte, and CancelledError
+        after the connection was aborted.
+        """
+        reader = running.open_reader()
+        try:
+            head = await running.async_head()
+            response = StreamResponse(
+                status=head.status,
+                headers={
+                    "Content-Type": head.content_type,
+                    HEADER_REQUEST_ID: request_id,
+                },
+            )
+            if head.replayed:
+                response.headers[HEADER_CLAIM_REPLAYED] = "1"
+            if head.content_length is not None:
+                response.content_length = head.content_length
+            await response.prepare(request)
+            try:
+                await self._async_copy(reader, response)
+            except AzurewickError as err:
+                if head.is_event_stream:
+                    await self._async_write_event(response, err)
+                abort(request)
+            except (ReaderTooSlowError, TimeoutError):
+                abort(request, 0.0)
+            return response
+        finally:
+            reader.close()
+
+    async def _async_copy(
+        self, reader: AnswerReader, response: StreamResponse
+    ) -> None:
+        while data := await reader.async_read():
+            async with timeout(self._write_timeout_s):
+                await response.write(data)
+        await response.write_eof()
+
+    async def _async_write_event(
+        self, response: StreamResponse, error: AzurewickError
+    ) -> None:
+        event = f"event: error\ndata: {json.dumps(error.as_body())}\n\n"
+        try:
+            async with timeout(self._write_timeout_s):
+                await response.write(event.encode())
+        except TimeoutError:
+            return
+
+
+def abort(request: BaseRequest, delay_s: float = ABORT_DELAY_S) -> None:
+    """End a connection so that the caller sees a broken answer.
+
+    Raises CancelledError: it makes aiohttp close the connection without the
+    final chunk. What has been written leaves within the delay.
+    """
+    transport = request.transport
+    if transport is not None:
+        if delay_s:
+            get_running_loop().call_later(delay_s, transport.abort)
+        else:
+            transport.abort()
+    raise CancelledError
--- /dev/null
+++ b/azurewick/gateway/server.py
@@ -0,0 +1,263 @@
+"""HTTP server for the callers."""
+
+from __future__ import annotations
+
+from asyncio import BaseTransport
+from asyncio import CancelledError
+from asyncio import Event
+from random import Random
+from typing import Any
+
+from aiohttp.web import BaseRequest
+from aiohttp.web import json_response
+from aiohttp.web import RequestHandler
+from aiohttp.web import Server
+from aiohttp.web import StreamResponse
+
+from azurewick.const import HEADER_REQUEST_CLASS
+from azurewick.const import MAX_HEADER_FIELDS
+from azurewick.const import PATH_CHAT_COMPLETIONS
+from azurewick.const import PATH_HEALTH
+from azurewick.const import PATH_READY
+from azurewick.const import PREFIX_SERVICES
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
+from azurewick.errors import Step
+from azurewick.gateway.context import RequestContext
+from azurewick.gateway.context import RequestIds
+from azurewick.gateway.execution import RequestExecutor
+from azurewick.gateway.filters.admission import CustomerLimitFilter
+from azurewick.gateway.filters.admission import IdempotencyKeyFilter
+from azurewick.gateway.filters.admission import PoisonFilter
+from azurewick.gateway.filters.admission import ReadinessFilter
+from azurewick.gateway.filters.chain import FilterChain
+from azurewick.gateway.filters.identity import AuthenticationFilter
+from azurewick.gateway.filters.identity import ClassFilter
+from azurewick.gateway.filters.limits import BodyFilter
+from azurewick.gateway.filters.limits import HeaderLimitFilter
+from azurewick.gateway.metrics import CODE_OK
+from azurewick.gateway.responder import Responder
+from azurewick.gateway.status import build_status
+from azurewick.gateway.wiring import GatewayComponents
+from azurewick.helpers.clock import monotonic_s
+
+PATH_STATUS = "/v1/status"
+# Idle callers' connections stay open for as long as load balancers keep
+# theirs.
+KEEPALIVE_S = 75.0
+# Errors that are the caller's own don't count for the service level.
+CALLER_STATUS = range(400, 500)
+
+
+class CallerConnection(RequestHandler):
+    """Connection of a caller that has to send its first request in time."""
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        """Close the connection when there are too many, or later if idle."""
+        super().connection_made(transport)
+        manager = self._manager
+        if not isinstance(manager, CallerServer):
+            return
+        if manager.connection_count > manager.max_connections:
+            self.force_close()
+            return
+        self._loop.call_later(manager.header_timeout_s, self._check_started)
+
+    def _check_started(self) -> None:
+        if self._request_count == 0:
+            self.force_close()
+
+
+class CallerServer(Server):
+    """aiohttp server with limits on connections and on their start."""
+
+    def __init__(
+        self,
+        handler: Any,
+        *,
+        header_timeout_s: float,
+        max_connections: int,
+    ) -> None:
+        super().__init__(
+            handler,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            access_log=None,
+            auto_decompress=False,
+            max_headers=MAX_HEADER_FIELDS,
+        )
+        self.header_timeout_s = header_timeout_s
+        self.max_connections = max_connections
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
+class CallerHandler:
+    """Takes each request of a caller through filters, run and answer."""
+
+    def __init__(
+        self,
+        components: GatewayComponents,
+        executor: RequestExecutor,
+        random: Random,
+    ) -> None:
+        settings = components.settings
+        self.readiness = ReadinessFilter(components.cluster)
+        self.request_ids = RequestIds(settings.name)
+        self._components = components
+        self._executor = executor
+        self._active = 0
+        self._idle = Event()
+        self._idle.set()
+        self._responder = Responder(random)
+        self._filters = FilterChain(
+            (
+                HeaderLimitFilter(),
+                self.readiness,
+                AuthenticationFilter(components.cluster),
+                ClassFilter(components.cluster),
+                IdempotencyKeyFilter(),
+                CustomerLimitFilter(components.limiter),
+                BodyFilter(settings.max_body_bytes),
+                PoisonFilter(components.poison),
+                # The body may have taken long.
+                self.readiness,
+            )
+        )
+
+    async def async_handle(self, request: BaseRequest) -> StreamResponse:
+        """Answer one request."""
+        path = request.path
+        if path == PATH_HEALTH:
+            return json_response({"status": "ok"})
+        if path == PATH_READY:
+            return self._build_readiness()
+        if path == PATH_STATUS:
+            return json_response(
+                build_status(
+                    self._components,
+                    self._executor,
+                    self.readiness.is_ready,
+                    monotonic_s(),
+                )
+            )
+        self._active += 1
+        self._idle.clear()
+        try:
+            response = await self._async_handle_work(request)
+        finally:
+            self._active -= 1
+            if not self._active:
+                self._idle.set()
+        if self.readiness.draining:
+            response.force_close()
+        return response
+
+    async def async_wait_idle(self) -> None:
+        """Wait until no caller waits for an answer."""
+        await self._idle.wait()
+
+    def _build_readiness(self) -> StreamResponse:
+        if self.readiness.is_ready:
+            return json_response({"ready": True})
+        return json_response(
+            {"ready": False, "draining": self.readiness.draining}, status=503
+        )
+
+    async def _async_handle_work(self, request: BaseRequest) -> StreamResponse:
+        context = self._build_context(request)
+        try:
+            _set_target(context, request)
+            await self._filters.async_apply(context)
+            return await self._async_run(request, context)
+        except AzurewickError as err:
+            self._count_error(context, err)
+            response = self._responder.build_error(err, context.request_id)
+            if not request.content.is_eof():
+                # The rest of a refused body is not worth reading.
+                response.force_close()
+            return response
+        except CancelledError:
+            self._components.metrics.count_request(
+                context.class_label, Outcome.UNKNOWN, ErrorCode.CANCELLED
+            )
+            raise
+
+    async def _async_run(
+        self, request: BaseRequest, context: RequestContext
+    ) -> StreamResponse:
+        running = self._executor.start_or_join(context)
+        try:
+            response = await self._responder.async_write(
+                request, running, context.request_id
+            )
+        finally:
+            self._executor.leave(running)
+        self._components.metrics.count_request(
+            context.class_label, Outcome.RAN, CODE_OK
+        )
+        return response
+
+    def _build_context(self, request: BaseRequest) -> RequestContext:
+        return RequestContext(
+            method=request.method,
+            path=request.raw_path,
+            headers=request.headers,
+            payload=request.content if request.body_exists else None,
+            received_s=monotonic_s(),
+            request_id=self.request_ids.create(),
+            header_bytes=sum(
+                len(name) + len(value) for name, value in request.raw_headers
+            ),
+            header_fields=len(request.raw_headers),
+            content_type=request.headers.get(
+                "Content-Type", "application/json"
+            ),
+        )
+
+    def _count_error(
+        self, context: RequestContext, error: AzurewickError
+    ) -> None:
+        metrics = self._components.metrics
+        metrics.count_request(
+            context.class_label, error.outcome.value, error.code.value
+        )
+        if context.class_label and error.http_status not in CALLER_STATUS:
+            metrics.count_level(context.class_label, False)
+
+
+def _set_target(context: RequestContext, request: BaseRequest) -> None:
+    """Set pool and path from the request's target.
+
+    Raises AzurewickError for a target that nothing serves.
+    """
+    path = context.path
+    if path == PATH_CHAT_COMPLETIONS:
+        if request.method == "POST":
+            return
+        raise _invalid(f"{PATH_CHAT_COMPLETIONS} takes POST only")
+    if not path.startswith(PREFIX_SERVICES):
+        raise _invalid(
+            f"paths are {PATH_CHAT_COMPLETIONS} and"
+            f" {PREFIX_SERVICES}POOL/PATH; the class is chosen by"
+            f" {HEADER_REQUEST_CLASS}"
+        )
+    pool, separator, rest = path[len(PREFIX_SERVICES) :].partition("/")
+    if not pool or not separator:
+        raise _invalid(f"path has no {PREFIX_SERVICES}POOL/PATH")
+    context.pool = pool
+    context.path = f"/{rest}"
+
+
+def _invalid(message: str) -> AzurewickError:
+    return AzurewickError(
+        ErrorCode.INVALID_REQUEST, message, step=Step.RECEIVE
+    )
--- /dev/null
+++ b/tests/gateway/builders.py
@@ -0,0 +1,338 @@
+"""Builders for the tests of the gateway."""
+
+from __future__ import annotations
+
+from asyncio import Event
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import replace
+import json
+from random import Random
+from typing import Any
+
+from aiohttp import ClientSession
+from aiohttp import web
+
+from azurewick.claims.models import ClaimDecision
+from azurewick.claims.models import ClaimKind
+from azurewick.configuration.snapshot import build_snapshot
+from azurewick.configuration.snapshot import ConfigurationSnapshot
+from azurewick.configuration.snapshot import hash_api_key
+from azurewick.const import HEADER_LOAD
+from azurewick.const import HEADER_OFFER
+from azurewick.const import HEADER_OUTCOME
+from azurewick.const import PATH_AGENT_CANCEL
+from azurewick.const import PATH_AGENT_DISPATCH
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
+from azurewick.errors import Step
+from azurewick.gateway.agent_client import AgentClient
+from azurewick.gateway.application import Gateway
+from azurewick.gateway.shedding import FloorConfirmer
+from azurewick.gateway.wiring import AllAgentsRound
+from azurewick.gateway.wiring import build_components
+from azurewick.gateway.wiring import UnknownCluster
+from azurewick.models import BackendServer
+from azurewick.models import PoolKind
+from azurewick.settings.models import GatewaySettings
+from azurewick.settings.models import StoreSettings
+
+KEYS = {"north": "north-key", "south": "south-key"}
+CLASSES = (
+    ("quick", "models", 0, True),
+    ("draft", "models", 2, True),
+    ("lookup", "shop", 1, True),
+    ("deposit", "shop", 0, False),
+)
+ANSWER = b'{"usage": {"prompt_tokens": 3, "completion_tokens": 2}}'
+
+Behaviour = Callable[["FakeAgent", web.Request], Awaitable[web.StreamResponse]]
+
+
+def create_snapshot(**class_fields: Any) -> ConfigurationSnapshot:
+    """Return two customers with all classes; fields go to each class."""
+    classes = [
+        {"name": name, "pool": pool, "tier": tier, "repeatable": repeatable}
+        | class_fields
+        for name, pool, tier, repeatable in CLASSES
+    ]
+    return build_snapshot(
+        {
+            "pools": [
+                {"name": "models", "kind": "model"},
+                {"name": "shop", "kind": "service"},
+            ],
+            "classes": classes,
+            "customers": [
+                {
+                    "name": name,
+                    "key_hashes": [hash_api_key(key)],
+                    "classes": [item["name"] for item in classes],
+                }
+                for name, key in KEYS.items()
+            ],
+        },
+        7,
+    )
+
+
+def create_settings(**fields: Any) -> GatewaySettings:
+    """Return settings with ports that the system chooses."""
+    return GatewaySettings(
+        role="gateway",
+        name="gateway-1",
+        region="lima",
+        failure_domain="lima-a",
+        address="127.0.0.1:0",
+        control_address="127.0.0.1:0",
+        store=StoreSettings(url="http://127.0.0.1:1"),
+        **fields,
+    )
+
+
+async def async_answer(
+    agent: FakeAgent, request: web.Request
+) -> web.StreamResponse:
+    """Answer whole, as an agent whose backend server ran the request."""
+    return web.Response(
+        body=ANSWER,
+        content_type="application/json",
+        headers={HEADER_OUTCOME: "ran", HEADER_LOAD: agent.load},
+    )
+
+
+def refuse_with(code: ErrorCode) -> Behaviour:
+    """Return the behaviour of an agent that refuses each offer."""
+
+    async def async_refuse(
+        agent: FakeAgent, request: web.Request
+    ) -> web.StreamResponse:
+        error = AzurewickError(code, "refused", step=Step.QUEUE)
+        return web.json_response(
+            error.as_body(),
+            status=error.http_status,
+            headers={HEADER_OUTCOME: "not_run", HEADER_LOAD: agent.load},
+        )
+
+    return async_refuse
+
+
+class FakeAgent:
+    """Agent on a port of its own with a behaviour for its dispatches."""
+
+    def __init__(
+        self,
+        name: str,
+        pool: str = "models",
+        behaviour: Behaviour = async_answer,
+    ) -> None:
+        self.name = name
+        self.pool = pool
+        self.behaviour = behaviour
+        self.offers: list[dict[str, Any]] = []
+        self.bodies: list[bytes] = []
+        self.cancelled: list[str] = []
+        self.cancel_seen = Event()
+        self.offered = Event()
+        self.go_on = Event()
+        self.load = json.dumps(
+            {"backend_server": name, "incarnation": f"{name}-1", "version": ""}
+        )
+        self.runner: web.AppRunner | None = None
+        self.address = ""
+
+    async def async_start(self) -> None:
+        """Listen on a port that the system chooses."""
+        app = web.Application()
+        app.router.add_post(PATH_AGENT_DISPATCH, self._async_dispatch)
+        app.router.add_post(PATH_AGENT_CANCEL, self._async_cancel)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
+
+    async def async_stop(self) -> None:
+        """Close the port."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def _async_dispatch(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        self.offers.append(json.loads(request.headers[HEADER_OFFER]))
+        self.bodies.append(await request.read())
+        self.offered.set()
+        return await self.behaviour(self, request)
+
+    async def _async_cancel(self, request: web.Request) -> web.Response:
+        self.cancelled.append((await request.json())["request_id"])
+        self.cancel_seen.set()
+        return web.Response()
+
+    @property
+    def server(self) -> BackendServer:
+        """Return this agent as the gateway sees it."""
+        return BackendServer(
+            name=self.name,
+            pool=self.pool,
+            kind=PoolKind.MODEL,
+            address=self.address,
+            control_address=self.address,
+            failure_domain="lima-a",
+            region="lima",
+            version="v1",
+        )
+
+
+class FixedCluster(UnknownCluster):
+    """Cluster state made by hand."""
+
+    def __init__(self, snapshot: ConfigurationSnapshot | None) -> None:
+        self.snapshot = snapshot
+        self.is_ready = snapshot is not None
+        self.servers: dict[str, BackendServer] = {}
+        self.failures: list[str] = []
+
+    def backend_servers(self, pool, now_s):
+        """Return the servers of a pool."""
+        return tuple(s for s in self.servers.values() if s.pool == pool)
+
+    def record_failure(self, name, now_s):
+        """Keep the name."""
+        self.failures.append(name)
+
+
+class MemoryClaims:
+    """Claims in memory with the contract of the store's claims."""
+
+    def __init__(self) -> None:
+        self.claims: dict[str, Any] = {}
+        self.down = False
+
+    async def async_claim(self, key, fingerprint, now_s):
+        """Grant the first claim of a key."""
+        if self.down:
+            raise AzurewickError(
+                ErrorCode.STORE_UNAVAILABLE, "down", step=Step.STORE
+            )
+        if key not in self.claims:
+            self.claims[key] = (fingerprint, None)
+            return ClaimDecision(kind=ClaimKind.GRANTED)
+        first, answer = self.claims[key]
+        if first != fingerprint:
+            return ClaimDecision(kind=ClaimKind.MISMATCH)
+        if answer is None:
+            return ClaimDecision(kind=ClaimKind.IN_PROGRESS)
+        return ClaimDecision(kind=ClaimKind.REPLAY, answer=answer)
+
+    async def async_complete(self, key, answer, now_s):
+        """Keep the answer."""
+        self.claims[key] = (self.claims[key][0], answer)
+
+    async def async_release(self, key, now_s):
+        """Free the key."""
+        del self.claims[key]
+
+    async def async_wait(self, key, timeout_s):
+        """Return at once: no other owner ends a claim here."""
+        return ClaimDecision(kind=ClaimKind.IN_PROGRESS)
+
+
+class FakeFloorClient:
+    """Floor client; silent agents don't answer."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, int]] = []
+        self.silent: set[str] = set()
+        self.before_ack: Callable[[], Awaitable[None]] | None = None
+
+    async def async_set_floor(self, server, floor_tier):
+        """Note the call."""
+        self.calls.append((server.name, floor_tier))
+        if self.before_ack is not None:
+            await self.before_ack()
+        return server.name not in self.silent
+
+    def keep_only(self, control_addresses):
+        """Keep no connections."""
+
+
+class GatewayBench:
+    """Gateway on a loopback port with fake agents."""
+
+    def __init__(
+        self,
+        *agents: FakeAgent,
+        snapshot: ConfigurationSnapshot | None = None,
+        answer_timeout_s: float = 30.0,
+        **settings: Any,
+    ) -> None:
+        self.agents = agents
+        self.cluster = FixedCluster(snapshot or create_snapshot())
+        self.claims = MemoryClaims()
+        self.floor_client = FakeFloorClient()
+        self.components = replace(
+            build_components(create_settings(**settings)),
+            cluster=self.cluster,
+            claims=self.claims,
+            agents=AgentClient(answer_timeout_s),
+            floor=FloorConfirmer(
+                self.cluster, self.floor_client, AllAgentsRound
+            ),
+        )
+        self.gateway = Gateway(self.components, Random(1))
+
+    async def __aenter__(self) -> GatewayBench:
+        for agent in self.agents:
+            await agent.async_start()
+            self.cluster.servers[agent.name] = agent.server
+        await self.gateway.async_start()
+        self.session = ClientSession(f"http://127.0.0.1:{self.gateway.port}")
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.session.close()
+        for agent in self.agents:
+            agent.go_on.set()
+        await self.gateway.async_stop()
+        for agent in self.agents:
+            await agent.async_stop()
+
+    def post(
+        self,
+        request_class: str = "quick",
+        *,
+        customer: str = "north",
+        key: str = "",
+        body: bytes = b'{"messages": []}',
+        **kwargs: Any,
+    ) -> Any:
+        """Send a request of a class; use it in async with or await it."""
+        path = "/v1/chat/completions"
+        if request_class in ("lookup", "deposit"):
+            path = "/services/shop/orders"
+        headers = {
+            "Authorization": f"Bearer {KEYS.get(customer, customer)}",
+            "X-Request-Class": request_class,
+        }
+        if key:
+            headers["Idempotency-Key"] = key
+        headers |= kwargs.pop("headers", {})
+        return self.session.post(path, data=body, headers=headers, **kwargs)
+
+    async def async_post(self, *args: Any, **kwargs: Any) -> tuple[int, Any]:
+        """Send a request; return the status and the parsed answer."""
+        async with self.post(*args, **kwargs) as response:
+            return response.status, json.loads(await response.read())
+
+    @property
+    def dispatch_count(self) -> int:
+        """Return the number of offers that reached an agent."""
+        return sum(len(agent.offers) for agent in self.agents)
+
+
+def get_error(body: dict[str, Any]) -> tuple[str, str]:
+    """Return code and outcome of an error body."""
+    error = body["error"]
+    return error["code"], Outcome(error["outcome"]).value
