--- /dev/null
+++ b/azurewick/admission/batch_limit.py
@@ -0,0 +1,74 @@
+"""Learned number of requests that an engine runs at once."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# The limit grows only below this part of the target and shrinks above the
+# target; the gap keeps it from alternating.
+GROW_BELOW: Final = 0.9
+# Part of the target aimed at after a step was too slow.
+SHRINK_TO: Final = 0.95
+ADJUST_INTERVAL_S: Final = 0.25
+SMOOTHING: Final = 0.1
+
+
+class BatchLimit:
+    """Concurrency limit at which the inter-token target still holds."""
+
+    def __init__(
+        self, *, initial: int = 8, minimum: int = 1, maximum: int = 64
+    ) -> None:
+        self._minimum = minimum
+        self._maximum = maximum
+        self._limit = float(min(maximum, max(minimum, initial)))
+        self._inter_token_s: float | None = None
+        self._peak_running = 0
+        self._adjusted_s: float | None = None
+
+    @property
+    def limit(self) -> int:
+        """Return the number of requests that may run at once."""
+        return int(self._limit)
+
+    def record_step(
+        self,
+        running: int,
+        inter_token_s: float,
+        target_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Record the time between tokens at a number of running requests.
+
+        target_s is the tightest inter-token target of the running classes;
+        None lets the limit grow to its maximum.
+        """
+        if running < 1 or inter_token_s <= 0.0:
+            return
+        if self._inter_token_s is None:
+            self._inter_token_s = inter_token_s
+        self._inter_token_s += SMOOTHING * (
+            inter_token_s - self._inter_token_s
+        )
+        self._peak_running = max(self._peak_running, running)
+        if self._adjusted_s is None:
+            self._adjusted_s = now_s
+        if now_s - self._adjusted_s < ADJUST_INTERVAL_S:
+            return
+        self._adjusted_s = now_s
+        self._adjust(target_s)
+        self._peak_running = 0
+
+    def _adjust(self, target_s: float | None) -> None:
+        measured_s = self._inter_token_s or 0.0
+        if target_s is not None and measured_s > target_s:
+            # A batch far below the limit was slow for another reason, and
+            # only the part of the limit that was used counts.
+            used = min(self._limit, float(self._peak_running))
+            wanted = used * SHRINK_TO * target_s / measured_s
+            self._limit = max(float(self._minimum), wanted, self._limit * 0.7)
+        elif self._peak_running >= self.limit and (
+            target_s is None or measured_s < GROW_BELOW * target_s
+        ):
+            growth = max(1.0, 0.05 * self._limit)
+            self._limit = min(float(self._maximum), self._limit + growth)
--- /dev/null
+++ b/azurewick/admission/retry_budget.py
@@ -0,0 +1,99 @@
+"""Limit on repeated offers, and times at which callers should return."""
+
+from __future__ import annotations
+
+from collections import deque
+import random
+from typing import Final
+
+RETRY_WINDOW_S: Final = 10.0
+RETRY_RATIO: Final = 0.1
+RETRY_ALLOWANCE: Final = 10
+MAX_OFFERS: Final = 3
+
+MIN_RETRY_AFTER_S: Final = 1.0
+MAX_RETRY_AFTER_S: Final = 120.0
+
+
+class _WindowCount:
+    """Count of events in a sliding window, in buckets of a tenth of it."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._bucket_s = window_s / 10
+        self._buckets: deque[list[float]] = deque()
+        self._total = 0
+
+    def add(self, now_s: float) -> None:
+        self.total(now_s)
+        if not self._buckets or (
+            now_s - self._buckets[-1][0] >= self._bucket_s
+        ):
+            self._buckets.append([now_s, 0])
+        self._buckets[-1][1] += 1
+        self._total += 1
+
+    def total(self, now_s: float) -> int:
+        while self._buckets and now_s - self._buckets[0][0] > self._window_s:
+            self._total -= int(self._buckets.popleft()[1])
+        return self._total
+
+
+class RetryBudget:
+    """Allow at most 10% more offers than requests over 10 s, plus 10."""
+
+    def __init__(
+        self,
+        *,
+        window_s: float = RETRY_WINDOW_S,
+        ratio: float = RETRY_RATIO,
+        allowance: int = RETRY_ALLOWANCE,
+    ) -> None:
+        self._ratio = ratio
+        self._allowance = allowance
+        self._requests = _WindowCount(window_s)
+        self._retries = _WindowCount(window_s)
+
+    def record_request(self, now_s: float) -> None:
+        """Record a request's first offer."""
+        self._requests.add(now_s)
+
+    def try_retry(self, now_s: float) -> bool:
+        """Take one repeated offer from the budget if it has one."""
+        limit = self._allowance + self._ratio * self._requests.total(now_s)
+        if self._retries.total(now_s) + 1 > limit:
+            return False
+        self._retries.add(now_s)
+        return True
+
+
+class RetryAfterSpreader:
+    """Spread the return times of refused callers.
+
+    Callers that were refused together would otherwise return together. The
+    span grows with the refusals against the requests that were served.
+    """
+
+    def __init__(self, seed: int, window_s: float = RETRY_WINDOW_S) -> None:
+        self._random = random.Random(seed)
+        self._window_s = window_s
+        self._refused = _WindowCount(window_s)
+        self._served = _WindowCount(window_s)
+
+    def record_served(self, now_s: float) -> None:
+        """Record a request that was served."""
+        self._served.add(now_s)
+
+    def retry_after_s(self, wait_s: float | None, now_s: float) -> float:
+        """Return the time after which a refused caller should return.
+
+        wait_s is the time until the queue has drained enough.
+        """
+        self._refused.add(now_s)
+        refused = self._refused.total(now_s)
+        served_per_s = max(1, self._served.total(now_s)) / self._window_s
+        # Time to serve all refused callers at the present rate.
+        span_s = max(MIN_RETRY_AFTER_S, refused / served_per_s)
+        delay_s = max(MIN_RETRY_AFTER_S, wait_s or 0.0)
+        delay_s += self._random.random() * span_s
+        return min(delay_s, MAX_RETRY_AFTER_S * self._random.uniform(0.5, 1))
--- /dev/null
+++ b/azurewick/routing/selector.py
@@ -0,0 +1,232 @@
+"""Choice of the backend server with the least expected cost."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import random
+from statistics import median
+from typing import Final
+
+from azurewick.models import BackendServer
+from azurewick.models import LoadReport
+from azurewick.models import Offer
+from azurewick.routing.affinity import PrefixAffinity
+from azurewick.routing.cost import estimate_cost
+from azurewick.routing.cost import pool_means
+from azurewick.routing.cost import SentOffer
+from azurewick.routing.cost import ServerEstimate
+from azurewick.routing.cost import STRAGGLER_FACTOR
+from azurewick.routing.models import OfferResult
+from azurewick.routing.models import OfferStatus
+
+# Servers compared for each request; more make gateways with the same view
+# choose the same server.
+SUBSET_SIZE: Final = 4
+# Part of the decode time that counts: it keeps a server's time occupied,
+# but later requests wait for it only in part.
+DECODE_WEIGHT: Final = 0.3
+REMOTE_DOMAIN_S: Final = 0.002
+# Round trip between the regions, and the price of the link: 15 Mbit/s is
+# shared by all traffic, so each byte is counted at a tenth of the link.
+REMOTE_REGION_S: Final = 0.05
+REGION_LINK_BYTES_PER_S: Final = 15e6 / 8 / 10
+BYTES_PER_PROMPT_TOKEN: Final = 4
+BYTES_PER_OUTPUT_TOKEN: Final = 75
+# A straggler gets one request at a time after a delay that doubles.
+FIRST_PROBE_DELAY_S: Final = 2.0
+MAX_PROBE_DELAY_S: Final = 30.0
+# Failures in a row after which a server is avoided like a straggler.
+MAX_FAILURES: Final = 2
+HIT_RATE_SMOOTHING: Final = 0.05
+
+
+class LeastCostRouter:
+    """Choose by expected cost in seconds among a few random servers."""
+
+    def __init__(
+        self, seed: int, region: str = "", failure_domain: str = ""
+    ) -> None:
+        self._random = random.Random(seed)
+        self._region = region
+        self._failure_domain = failure_domain
+        self._servers: dict[str, BackendServer] = {}
+        self._estimates: dict[str, ServerEstimate] = {}
+        self._affinity = PrefixAffinity()
+        self._expected_hits: dict[str, int] = {}
+        self._hit_rate = 0.5
+
+    def update_servers(self, servers: Sequence[BackendServer]) -> None:
+        """Replace the servers that may be chosen."""
+        self._servers = {
+            server.name: server
+            for server in sorted(servers, key=lambda server: server.name)
+        }
+        self._estimates = {
+            name: self._estimates.get(name) or ServerEstimate()
+            for name in self._servers
+        }
+
+    def record_report(self, report: LoadReport, now_s: float) -> None:
+        """Record a load report that arrived at now_s."""
+        estimate = self._estimates.get(report.backend_server)
+        if estimate is None:
+            return
+        before = estimate.report
+        if (
+            estimate.record_report(report, now_s)
+            and before is not None
+            and before.incarnation != report.incarnation
+        ):
+            self._affinity.forget_server(report.backend_server)
+
+    def choose(
+        self,
+        offer: Offer,
+        *,
+        excluded: frozenset[str],
+        version: str | None,
+        now_s: float,
+    ) -> str | None:
+        """Return the name of a server, or None when none may be chosen."""
+        names = [
+            server.name
+            for server in self._servers.values()
+            if server.name not in excluded
+            and version in (None, server.version)
+            and not self._is_draining(server.name)
+        ]
+        if not names:
+            return None
+        suspects = self._find_suspects(names, now_s)
+        probe = self._find_probe(suspects, now_s)
+        if probe is not None:
+            return probe
+        healthy = [name for name in names if name not in suspects] or names
+        return self._choose_least_cost(offer, healthy, now_s)
+
+    def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
+        """Record that an offer was sent to a server."""
+        estimate = self._estimates.get(name)
+        if estimate is None:
+            return
+        wait_s, occupancy, _ = pool_means(self._estimates.values())
+        cost = estimate_cost(
+            estimate,
+            offer,
+            cached_tokens=0,
+            mean_wait_s=wait_s,
+            mean_occupancy=occupancy,
+            now_s=now_s,
+        )
+        estimate.sent[offer.request_id] = SentOffer(
+            sent_s=now_s,
+            service_s=estimate.service_s(offer),
+            prefill_s=cost.prefill_s,
+            start_s=cost.first_token_s,
+        )
+        for item in self._affinity.candidates(offer.prefix_hashes, {name}):
+            self._expected_hits[offer.request_id] = min(
+                item.tokens, offer.prompt_tokens
+            )
+            break
+        self._affinity.record(offer.prefix_hashes, name)
+
+    def record_result(
+        self, offer: Offer, name: str, result: OfferResult, now_s: float
+    ) -> None:
+        """Record the end of an offer that was sent to a server."""
+        expected_tokens = self._expected_hits.pop(offer.request_id, 0)
+        estimate = self._estimates.get(name)
+        if estimate is None:
+            return
+        estimate.record_result(offer, result, now_s)
+        if result.status is not OfferStatus.FINISHED:
+            return
+        if expected_tokens > 0:
+            hit = min(1.0, result.cached_tokens / expected_tokens)
+            self._hit_rate += HIT_RATE_SMOOTHING * (hit - self._hit_rate)
+
+    def _is_draining(self, name: str) -> bool:
+        report = self._estimates[name].report
+        return report is not None and report.draining
+
+    def _find_suspects(self, names: list[str], now_s: float) -> set[str]:
+        """Return the servers that are slow, silent or failing."""
+        speeds = {
+            name: speed
+            for name in names
+            if (speed := self._estimates[name].per_token_s()) is not None
+        }
+        middle = median(speeds.values()) if speeds else 0.0
+        suspects = set()
+        for name in names:
+            estimate = self._estimates[name]
+            if (
+                speeds.get(name, 0.0) > STRAGGLER_FACTOR * middle
+                or estimate.failures >= MAX_FAILURES
+                or estimate.is_overdue(now_s)
+            ):
+                suspects.add(name)
+                if estimate.probe_delay_s == 0.0:
+                    estimate.probe_delay_s = FIRST_PROBE_DELAY_S
+                    estimate.probe_after_s = now_s + FIRST_PROBE_DELAY_S
+            else:
+                estimate.probe_delay_s = 0.0
+        return suspects
+
+    def _find_probe(self, suspects: set[str], now_s: float) -> str | None:
+        """Return a suspect that is due for a careful new try."""
+        for name in sorted(suspects):
+            estimate = self._estimates[name]
+            if now_s < estimate.probe_after_s or estimate.sent:
+                continue
+            estimate.probe_delay_s = min(
+                MAX_PROBE_DELAY_S, 2.0 * estimate.probe_delay_s
+            )
+            estimate.probe_after_s = now_s + estimate.probe_delay_s
+            return name
+        return None
+
+    def _choose_least_cost(
+        self, offer: Offer, names: list[str], now_s: float
+    ) -> str:
+        wait_s, occupancy, _ = pool_means(self._estimates.values())
+        subset = self._random.sample(names, min(SUBSET_SIZE, len(names)))
+        cached = {
+            item.name: min(item.tokens, offer.prompt_tokens) * self._hit_rate
+            for item in self._affinity.candidates(
+                offer.prefix_hashes, set(names)
+            )
+        }
+        candidates = list(dict.fromkeys([*subset, *cached]))
+
+        def cost_s(name: str) -> float:
+            cost = estimate_cost(
+                self._estimates[name],
+                offer,
+                cached_tokens=cached.get(name, 0.0),
+                mean_wait_s=wait_s,
+                mean_occupancy=occupancy,
+                now_s=now_s,
+            )
+            return (
+                cost.first_token_s
+                + DECODE_WEIGHT * cost.decode_s
+                + cost.doubt_s
+                + self._distance_s(name, offer)
+            )
+
+        return min(candidates, key=cost_s)
+
+    def _distance_s(self, name: str, offer: Offer) -> float:
+        """Return the price of the way to a server."""
+        server = self._servers[name]
+        if server.region != self._region and self._region:
+            transfer_bytes = (
+                BYTES_PER_PROMPT_TOKEN * offer.prompt_tokens
+                + BYTES_PER_OUTPUT_TOKEN * offer.expected_output_tokens
+            )
+            return REMOTE_REGION_S + transfer_bytes / REGION_LINK_BYTES_PER_S
+        if server.failure_domain != self._failure_domain:
+            return REMOTE_DOMAIN_S
+        return 0.0
