Compose the gateway from the real parts and run the demonstration

Cause: the daemons were merged with stub parts only. Change: azurewick/gateway/composition.py plugs in the cluster state, the router, limits and floors; the demonstration reads the engines' counters.

--- a/azurewick/cli/context.py
+++ b/azurewick/cli/context.py
@@ -23,6 +23,7 @@
 from azurewick.cli.const import EXIT_CODE_BY_ERROR
 from azurewick.cli.const import ExitCode
 from azurewick.errors import AzurewickError
+from azurewick.helpers.clock import monotonic_s
 from azurewick.platform.client import ObjectApiClient
 from azurewick.settings.client import ClientSettings
 from azurewick.settings.client import load_client_settings
@@ -57,6 +58,7 @@
             calls_per_s=settings.calls_per_s,
             burst_calls=settings.burst_calls,
             request_timeout_s=settings.request_timeout_s,
+            clock=monotonic_s,
         )
         try:
             yield store
--- a/azurewick/gateway/application.py
+++ b/azurewick/gateway/application.py
@@ -14,10 +14,10 @@
 from aiomisc import Service
 from grpclib.server import Server
 
+from azurewick.gateway.composition import build_gateway
 from azurewick.gateway.execution import RequestExecutor
 from azurewick.gateway.server import CallerHandler
 from azurewick.gateway.server import CallerServer
-from azurewick.gateway.wiring import build_components
 from azurewick.gateway.wiring import build_control_server
 from azurewick.gateway.wiring import GatewayComponents
 from azurewick.helpers.address import split_address
@@ -119,7 +119,7 @@
 
     async def start(self) -> None:
         """Start the gateway."""
-        self._gateway = Gateway(build_components(self._settings))
+        self._gateway = Gateway(build_gateway(self._settings))
         await self._gateway.async_start()
 
     async def stop(self, exception: Exception | None = None) -> None:
--- /dev/null
+++ b/azurewick/gateway/composition.py
@@ -0,0 +1,67 @@
+"""Composition root of the gateway daemon."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from xxhash import xxh64_intdigest
+
+from azurewick.admission.customer_limit import CustomerLimiter
+from azurewick.admission.floor import FloorRound
+from azurewick.admission.retry_budget import RetryBudget
+from azurewick.const import HIGHEST_TIER
+from azurewick.gateway.agent_client import AgentClient
+from azurewick.gateway.metrics import GatewayMetrics
+from azurewick.gateway.shedding import FloorConfirmer
+from azurewick.gateway.shedding import GrpcFloorClient
+from azurewick.gateway.wiring import AnyVersion
+from azurewick.gateway.wiring import BackgroundTasks
+from azurewick.gateway.wiring import GatewayComponents
+from azurewick.gateway.wiring import RefusingClaims
+from azurewick.helpers.clock import monotonic_s
+from azurewick.membership.coordinator import ClusterState
+from azurewick.platform.client import ObjectApiClient
+from azurewick.poison.detector import PoisonDetector
+from azurewick.routing.affinity import prefix_hashes
+from azurewick.routing.estimator import OutputLengthPredictor
+from azurewick.routing.selector import LeastCostRouter
+from azurewick.settings.models import GatewaySettings
+
+
+def build_gateway(settings: GatewaySettings) -> GatewayComponents:
+    """Return the components of a gateway with these settings."""
+    store = ObjectApiClient(
+        settings.store.url,
+        calls_per_s=settings.store.calls_per_s,
+        burst_calls=settings.store.burst_calls,
+        request_timeout_s=settings.store.request_timeout_s,
+        clock=monotonic_s,
+    )
+    cluster = ClusterState(settings, store, monotonic_s)
+    return GatewayComponents(
+        settings=settings,
+        cluster=cluster,
+        agents=AgentClient(),
+        floor=FloorConfirmer(
+            cluster, GrpcFloorClient(settings.name), build_floor_round
+        ),
+        claims=RefusingClaims(),
+        limiter=CustomerLimiter(),
+        poison=PoisonDetector(),
+        versions=AnyVersion(),
+        predictor=OutputLengthPredictor(),
+        metrics=GatewayMetrics(),
+        background=BackgroundTasks(),
+        create_router=lambda: LeastCostRouter(
+            xxh64_intdigest(settings.name.encode()),
+            settings.region,
+            settings.failure_domain,
+        ),
+        create_retry_budget=RetryBudget,
+        hash_prefix=prefix_hashes,
+    )
+
+
+def build_floor_round(agents: Sequence[str], now_s: float) -> FloorRound:
+    """Return a round that confirms a floor at these agents."""
+    return FloorRound(agents, floor_tier=HIGHEST_TIER, started_s=now_s)
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -148,7 +148,9 @@
         if state == "rolled_back":
             self.figures.versions_rolled_back.append(BAD_VERSION)
         counters = await self.fleet.async_read_counters()
-        started = counters[spec.name]["requests_started"]
+        engine = counters[spec.name]
+        started = engine.get("started", 0)
+        started += engine.get("failed_on_purpose", 0)
         sent = sum(
             record.request_class == CLASS_QUICK
             for record in self.callers.records[before:]
@@ -184,8 +186,12 @@
         figures.tiers = count_tiers(records)
         counters = await self.fleet.async_read_counters()
         for engine in counters.values():
-            figures.prefill_computed_tokens += engine["prompt_tokens_computed"]
-            figures.prefill_cached_tokens += engine["prompt_tokens_cached"]
+            figures.prefill_computed_tokens += engine.get(
+                "computed_prompt_tokens", 0
+            )
+            figures.prefill_cached_tokens += engine.get(
+                "cached_prompt_tokens", 0
+            )
         figures.engine_runs_twice = _count_repeated_runs(counters)
         runs_by_key: dict[str, int] = {}
         for name in ("booking-1", "booking-2"):
