--- /dev/null
+++ b/azurewick/rollout/assessment.py
@@ -0,0 +1,336 @@
+"""Assessment of a version from the merged evidence of all gateways.
+
+A fault counts against a version only if it shows on at least two of its
+backend servers: the evidence without the worst server has to show it too, so
+that one failing machine doesn't condemn the version. A version with a single
+server is judged by that server: a rollback by mistake costs a new move,
+while a bad version that stays costs requests. Broken streams count only
+after MIN_CRASHES crashes without a repeated request, on two servers or on
+the only one.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from azurewick.rollout.counts import Counts
+from azurewick.rollout.counts import EvidenceKey
+from azurewick.rollout.counts import EvidenceRow
+from azurewick.rollout.sequential_test import ACCEPTANCE_BOUND
+from azurewick.rollout.sequential_test import Alternative
+from azurewick.rollout.sequential_test import REJECTION_BOUND
+from azurewick.rollout.sequential_test import REST_REJECTION_BOUND
+from azurewick.rollout.sequential_test import SequentialTest
+
+# Three crashes are what one poison request may cause at most.
+MIN_CRASHES = 3
+MIN_SERVERS = 2
+ALL_ROUTES = "*"
+# A route with less than this share of the class's requests is tested, but
+# its acceptance isn't waited for.
+MIN_ROUTE_SHARE = 0.01
+# The old version's rates are those of this time, or of this many requests
+# when they took longer.
+OLD_RATE_WINDOW_S = 15.0
+OLD_RATE_MIN_REQUESTS = 200
+# Weight of the rate over all routes, in requests, in the rate of one route.
+ROUTE_PRIOR_REQUESTS = 50
+
+
+class Measure(StrEnum):
+    """Kind of outcome that is tested."""
+
+    FAILURES = "failures"
+    SLOW = "slow"
+    BROKEN = "broken"
+
+
+# The floors are the rates of a good version before the old one's are known.
+ALTERNATIVES = {
+    Measure.FAILURES: Alternative(0.002, 0.04, 2.0),
+    Measure.SLOW: Alternative(0.10, 0.20, 1.5),
+    Measure.BROKEN: Alternative(0.002, 0.04, 2.0),
+}
+# A route is accepted against a larger fault than the whole version: a rare
+# route would need too many requests for the smaller one.
+ROUTE_ACCEPTANCE_ALTERNATIVES = {
+    Measure.FAILURES: Alternative(0.002, 0.30, 2.0),
+    Measure.SLOW: Alternative(0.10, 0.40, 1.5),
+}
+
+
+class Verdict(StrEnum):
+    """What the evidence says about a version."""
+
+    OPEN = "open"
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Assessment:
+    """Verdict with its reason and the requests seen since the restart."""
+
+    verdict: Verdict
+    reason: str = ""
+    requests: int = 0
+
+
+class OldRates:
+    """Rates of the old version on one route over recent time."""
+
+    def __init__(self) -> None:
+        self.total = Counts()
+        self._marks: deque[tuple[float, Counts]] = deque()
+
+    def add(self, counts: Counts, now_s: float) -> None:
+        """Add outcomes of the old version."""
+        if not self._marks or now_s > self._marks[-1][0]:
+            self._marks.append((now_s, self.total))
+        self.total = self.total + counts
+        while len(self._marks) > 1:
+            mark_s, mark = self._marks[1]
+            recent = self.total.requests - mark.requests
+            if (
+                now_s - mark_s < OLD_RATE_WINDOW_S
+                or recent < OLD_RATE_MIN_REQUESTS
+            ):
+                return
+            self._marks.popleft()
+
+    def requests_per_s(self, now_s: float) -> float:
+        """Return the recent rate of requests."""
+        if not self._marks or now_s <= self._marks[0][0]:
+            return 0.0
+        return self.recent().requests / (now_s - self._marks[0][0])
+
+    def recent(self) -> Counts:
+        """Return the counts of the recent time."""
+        if not self._marks:
+            return Counts()
+        return self.total - self._marks[0][1]
+
+
+class _Stream:
+    """Tests of one measure on one route, with and without each server."""
+
+    def __init__(self, measure: Measure, route: str) -> None:
+        self.measure = measure
+        self._is_route = route != ALL_ROUTES
+        self._total = SequentialTest()
+        self._without: dict[str, SequentialTest] = {}
+
+    def update(
+        self, server: str, servers: Iterable[str], counts: Counts, rate: float
+    ) -> None:
+        """Add outcomes of one server at the old version's rate."""
+        hits = int(getattr(counts, self.measure.value))
+        rates = ALTERNATIVES[self.measure].rates(rate)
+        tests = [self._total]
+        for name in servers:
+            if name not in self._without:
+                self._without[name] = self._total.copy()
+            if name != server:
+                tests.append(self._without[name])
+        acceptance_rates = None
+        alternative = ROUTE_ACCEPTANCE_ALTERNATIVES.get(self.measure)
+        if self._is_route and alternative is not None:
+            acceptance_rates = alternative.rates(rate)
+        for test in tests:
+            test.update(counts.requests, hits, rates, acceptance_rates)
+
+    def is_rejected(self, is_single: bool) -> bool:
+        """Return whether the fault shows, on more than one server."""
+        if self._total.rejection < REJECTION_BOUND:
+            return False
+        if is_single:
+            return True
+        return len(self._without) >= MIN_SERVERS and all(
+            test.rejection >= REST_REJECTION_BOUND
+            for test in self._without.values()
+        )
+
+    def is_accepted(self) -> bool:
+        """Return whether the fault is ruled out but for one server."""
+        if self._total.acceptance <= ACCEPTANCE_BOUND:
+            return True
+        return len(self._without) >= MIN_SERVERS and any(
+            test.acceptance <= ACCEPTANCE_BOUND
+            for test in self._without.values()
+        )
+
+    def restart_acceptance(self) -> None:
+        """Begin new tests for acceptance."""
+        self._total.acceptance = 0.0
+        for test in self._without.values():
+            test.acceptance = 0.0
+
+
+class MoveAssessor:
+    """Assesses a version of a class from rows of cumulative counts.
+
+    Rows may come in any order and more than once; only growth counts.
+    """
+
+    def __init__(self, request_class: str, version: str) -> None:
+        self.request_class = request_class
+        self.version = version
+        self._known: dict[tuple[str, str, EvidenceKey], Counts] = {}
+        self._old: dict[str, OldRates] = {ALL_ROUTES: OldRates()}
+        self._streams: dict[str, list[_Stream]] = {}
+        self._servers: set[str] = set()
+        self._crashes: dict[str, dict[str, int]] = {}
+        self._new = Counts()
+        self._mark = Counts()
+
+    @property
+    def new_counts(self) -> Counts:
+        """Return the counts of the version since the first row."""
+        return self._new
+
+    @property
+    def class_requests(self) -> int:
+        """Return the counted requests of the class on all versions."""
+        return self._new.requests + self._old[ALL_ROUTES].total.requests
+
+    def update(self, rows: Iterable[EvidenceRow], now_s: float) -> None:
+        """Add the growth of the rows."""
+        changes: list[tuple[EvidenceKey, Counts]] = []
+        for row in rows:
+            key = row.key
+            if key.request_class != self.request_class:
+                continue
+            name = (row.gateway, row.incarnation, key)
+            change = row.counts - self._known.get(name, Counts())
+            if change == Counts() or self._is_older(change):
+                continue
+            self._known[name] = row.counts
+            if key.version == self.version:
+                changes.append((key, change))
+                self._record_crashes(row)
+            else:
+                self._add_old(key.route, change, now_s)
+        for key, change in changes:
+            self._add_new(key, change)
+
+    def requests_per_s(self, now_s: float) -> float:
+        """Return the recent rate of the class's counted requests."""
+        return self._old[ALL_ROUTES].requests_per_s(now_s)
+
+    def rarest_route_share(self) -> float:
+        """Return the least share of a route whose acceptance is awaited."""
+        total = max(1, self._old[ALL_ROUTES].total.requests)
+        shares = (old.total.requests / total for old in self._old.values())
+        return min(
+            share for share in (1.0, *shares) if share >= MIN_ROUTE_SHARE
+        )
+
+    def assess(self, servers: int, *, with_routes: bool = True) -> Assessment:
+        """Return the verdict for a version with so many servers in use.
+
+        with_routes waits for the acceptance of each route that is not rare.
+        """
+        reason = self._find_fault(servers)
+        requests = self._new.requests - self._mark.requests
+        if reason:
+            return Assessment(
+                verdict=Verdict.REJECTED, reason=reason, requests=requests
+            )
+        verdict = Verdict.OPEN
+        if self._is_accepted(with_routes):
+            verdict = Verdict.ACCEPTED
+        return Assessment(verdict=verdict, requests=requests)
+
+    def restart_acceptance(self) -> None:
+        """Begin new tests for acceptance, as at a new share."""
+        self._mark = self._new
+        for streams in self._streams.values():
+            for stream in streams:
+                stream.restart_acceptance()
+
+    def _is_older(self, change: Counts) -> bool:
+        # Only a crash that turns out to repeat a request takes counts back.
+        return change.requests < 0 and change.broken >= 0
+
+    def _record_crashes(self, row: EvidenceRow) -> None:
+        seen = self._crashes.setdefault(row.key.backend_server, {})
+        name = f"{row.gateway}/{row.incarnation}/{row.key.route}"
+        seen[name] = row.counts.crashes
+
+    def _add_old(self, route: str, change: Counts, now_s: float) -> None:
+        self._old[ALL_ROUTES].add(change, now_s)
+        self._old.setdefault(route, OldRates()).add(change, now_s)
+
+    def _add_new(self, key: EvidenceKey, change: Counts) -> None:
+        self._new = self._new + change
+        self._servers.add(key.backend_server)
+        for route in (ALL_ROUTES, key.route):
+            streams = self._streams.get(route)
+            if streams is None:
+                streams = [_Stream(measure, route) for measure in Measure]
+                self._streams[route] = streams
+            for stream in streams:
+                rate = self._old_rate(route, stream.measure)
+                stream.update(key.backend_server, self._servers, change, rate)
+
+    def _old_rate(self, route: str, measure: Measure) -> float:
+        pooled = self._old[ALL_ROUTES].recent()
+        floor = ALTERNATIVES[measure].floor
+        hits = getattr(pooled, measure.value) + floor * ROUTE_PRIOR_REQUESTS
+        rate: float = hits / (pooled.requests + ROUTE_PRIOR_REQUESTS)
+        old = self._old.get(route)
+        if route == ALL_ROUTES or old is None:
+            return rate
+        counts = old.recent()
+        hits = getattr(counts, measure.value) + rate * ROUTE_PRIOR_REQUESTS
+        return float(hits / (counts.requests + ROUTE_PRIOR_REQUESTS))
+
+    def _find_fault(self, servers: int) -> str:
+        is_single = servers == 1 and len(self._servers) <= 1
+        for route, streams in self._streams.items():
+            for stream in streams:
+                if not stream.is_rejected(is_single):
+                    continue
+                if stream.measure is Measure.BROKEN and not (
+                    self._has_crashed(is_single)
+                ):
+                    continue
+                where = "" if route == ALL_ROUTES else f" on {route}"
+                count = getattr(self._new, stream.measure.value)
+                return (
+                    f"{stream.measure.value}{where}: {count} of"
+                    f" {self._new.requests} requests"
+                )
+        return ""
+
+    def _has_crashed(self, is_single: bool) -> bool:
+        # Several gateways see the same crash, so the largest count of one
+        # gateway is the number that is certain.
+        crashes = [max(seen.values()) for seen in self._crashes.values()]
+        crashed = sum(1 for count in crashes if count > 0)
+        if sum(crashes) < MIN_CRASHES:
+            return False
+        return is_single or crashed >= MIN_SERVERS
+
+    def _is_accepted(self, with_routes: bool) -> bool:
+        if not self._is_stream_accepted(ALL_ROUTES):
+            return False
+        if not with_routes:
+            return True
+        total = self._old[ALL_ROUTES].total.requests
+        return all(
+            self._is_stream_accepted(route)
+            for route, old in self._old.items()
+            if old.total.requests >= MIN_ROUTE_SHARE * total
+        )
+
+    def _is_stream_accepted(self, route: str) -> bool:
+        streams = self._streams.get(route)
+        return streams is not None and all(
+            stream.is_accepted()
+            for stream in streams
+            if stream.measure is not Measure.BROKEN
+        )
--- /dev/null
+++ b/azurewick/rollout/coordinator.py
@@ -0,0 +1,160 @@
+"""Controller that advances version moves in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import replace
+import logging
+from typing import Protocol
+
+from azurewick.errors import AzurewickError
+from azurewick.platform.protocols import ObjectStore
+from azurewick.platform.protocols import StoredObject
+from azurewick.rollout.counts import EvidenceRow
+from azurewick.rollout.decisions import VersionCut
+from azurewick.rollout.models import parse_move
+from azurewick.rollout.models import PLURAL_VERSION_MOVES
+from azurewick.rollout.models import VersionMove
+from azurewick.rollout.planner import FleetSize
+from azurewick.rollout.planner import MovePlanner
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class LeaseHolder(Protocol):
+    """Lease on the version moves."""
+
+    def fencing_number(self, now_s: float) -> int | None:
+        """Return the fencing number while the lease is held, or None."""
+
+
+class EvidenceSource(Protocol):
+    """Evidence and cuts of all gateways, as far as they are known."""
+
+    def evidence(self) -> Collection[EvidenceRow]:
+        """Return cumulative counts."""
+
+    def cuts(self) -> Collection[VersionCut]:
+        """Return the versions that gateways cut."""
+
+
+class FleetView(Protocol):
+    """Live backend servers of the pools."""
+
+    def fleet_size(self, move: VersionMove) -> FleetSize:
+        """Return the servers of the move's new and old version."""
+
+
+class MoveCoordinator:
+    """Advances moves under a lease, one step at each call.
+
+    All state that must last is in the objects: a controller that takes over
+    goes on in the stored phase. A decision whose write failed or lost its
+    answer is kept and compared with the object that the next step reads: it
+    is written again only while the object still shows the move on which the
+    decision was taken.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        lease: LeaseHolder,
+        evidence: EvidenceSource,
+        fleet: FleetView,
+    ) -> None:
+        self._store = store
+        self._lease = lease
+        self._evidence = evidence
+        self._fleet = fleet
+        self._planners: dict[str, MovePlanner] = {}
+        self._pending: dict[str, tuple[VersionMove, VersionMove]] = {}
+        self._invalid: dict[str, int] = {}
+        self._is_store_down = False
+
+    async def async_step(self, now_s: float) -> None:
+        """Advance each move once; now_s is wall-clock time.
+
+        Errors of the store are logged once and tried again at the next step.
+        """
+        number = self._lease.fencing_number(now_s)
+        if number is None:
+            self._planners.clear()
+            self._pending.clear()
+            return
+        try:
+            listed = await self._store.async_list(PLURAL_VERSION_MOVES)
+            for item in listed.items:
+                await self._async_advance(item, number, now_s)
+        except AzurewickError as err:
+            self._record_store_error(err)
+            return
+        if self._is_store_down:
+            _LOGGER.info("version moves continue: the store answers again")
+        self._is_store_down = False
+
+    async def _async_advance(
+        self, item: StoredObject, number: int, now_s: float
+    ) -> None:
+        move = self._parse(item)
+        # A larger number shows that another controller holds the lease.
+        if move is None or move.fencing_number > number:
+            return
+        decided = self._decide(move, now_s)
+        if self._is_stored(item, decided):
+            self._pending.pop(move.id, None)
+            return
+        self._pending[move.id] = (move, decided)
+        decided = replace(decided, fencing_number=number)
+        await self._store.async_update(
+            replace(item, status=decided.as_status())
+        )
+        self._pending.pop(move.id, None)
+        if decided.state is not move.state or decided.share != move.share:
+            _LOGGER.info(
+                "move %s of class %s to version %s: %s, share %.2f %s",
+                move.id,
+                move.request_class,
+                move.version,
+                decided.state,
+                decided.share,
+                decided.reason,
+            )
+
+    def _decide(self, move: VersionMove, now_s: float) -> VersionMove:
+        if not move.is_progressing:
+            self._planners.pop(move.id, None)
+            return move
+        planner = self._planners.get(move.id)
+        if planner is None:
+            planner = self._planners[move.id] = MovePlanner(move)
+        planner.update(self._evidence.evidence(), now_s)
+        for cut in self._evidence.cuts():
+            if cut.move_id == move.id:
+                return planner.roll_back(move, cut.reason)
+        base, pending = self._pending.get(move.id, (None, move))
+        if base != move:
+            return planner.decide(move, self._fleet.fleet_size(move), now_s)
+        # The controller's own verdict outlives an outage of the store, and
+        # new evidence may still overrule an advance that was not written.
+        return planner.review(pending)
+
+    def _parse(self, item: StoredObject) -> VersionMove | None:
+        try:
+            move = parse_move({"spec": item.spec, "status": item.status})
+        except AzurewickError as err:
+            if self._invalid.get(item.name) != item.version:
+                _LOGGER.warning("version move %s: %s", item.name, err)
+            self._invalid[item.name] = item.version
+            return None
+        self._invalid.pop(item.name, None)
+        return move
+
+    def _is_stored(self, item: StoredObject, move: VersionMove) -> bool:
+        stored = dict(item.status)
+        stored["fencing_number"] = move.fencing_number
+        return stored == move.as_status()
+
+    def _record_store_error(self, err: AzurewickError) -> None:
+        if not self._is_store_down:
+            _LOGGER.warning("version moves wait: %s", err)
+        self._is_store_down = True
--- /dev/null
+++ b/azurewick/rollout/counts.py
@@ -0,0 +1,58 @@
+"""Counted outcomes of versions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceKey:
+    """What a count belongs to; backend_server is empty when unknown."""
+
+    request_class: str
+    version: str
+    route: str
+    backend_server: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """Counted outcomes.
+
+    failures are answers that report an error, slow those later than the old
+    version's on like requests, broken the requests lost in crashes.
+    """
+
+    requests: int = 0
+    failures: int = 0
+    slow: int = 0
+    broken: int = 0
+    crashes: int = 0
+
+    def __add__(self, other: Counts) -> Counts:
+        return Counts(
+            self.requests + other.requests,
+            self.failures + other.failures,
+            self.slow + other.slow,
+            self.broken + other.broken,
+            self.crashes + other.crashes,
+        )
+
+    def __sub__(self, other: Counts) -> Counts:
+        return Counts(
+            self.requests - other.requests,
+            self.failures - other.failures,
+            self.slow - other.slow,
+            self.broken - other.broken,
+            self.crashes - other.crashes,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceRow:
+    """Counts of one gateway since its start."""
+
+    gateway: str
+    incarnation: str
+    key: EvidenceKey
+    counts: Counts
--- /dev/null
+++ b/azurewick/rollout/models.py
@@ -0,0 +1,165 @@
+"""Version moves and their stored form."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+from typing import Any
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import ValidationError
+
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.settings.loader import describe_validation_error
+from azurewick.settings.models import Name
+
+PLURAL_VERSION_MOVES = "versionmoves"
+LEASE_VERSION_MOVES = "version-moves"
+
+START_SHARE = 0.01
+# Largest share of a version that the sequential test has not accepted.
+TEST_SHARE = 0.05
+
+
+class MoveState(StrEnum):
+    """State of a version move."""
+
+    PROGRESSING = "progressing"
+    DONE = "done"
+    ROLLED_BACK = "rolled_back"
+    CANCELLED = "cancelled"
+
+
+class MovePhase(StrEnum):
+    """Phase of a progressing move.
+
+    START sends the least share until the version has answered a few
+    requests. LOAD sends the test share to few servers, so that they carry
+    the load of the old ones, until the version is accepted. SOAK goes back
+    to the least share until the time left is needed for RAMP, which raises
+    the share in steps.
+    """
+
+    START = "start"
+    LOAD = "load"
+    SOAK = "soak"
+    RAMP = "ramp"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VersionMove:
+    """Move of a request class to a version.
+
+    by_time_s, started_s and phase_since_s are wall-clock times. share is
+    the part of the class's requests that the version gets, and servers the
+    number of its backend servers that get them; 0 stands for all. notice
+    tells the operator that by_time_s can't be met, and why.
+    """
+
+    id: str
+    request_class: str
+    version: str
+    by_time_s: float
+    requested_by: str = ""
+    state: MoveState = MoveState.PROGRESSING
+    share: float = START_SHARE
+    evidence: Mapping[str, int] = field(default_factory=dict)
+    reason: str = ""
+    phase: MovePhase = MovePhase.START
+    servers: int = 2
+    previous_version: str = ""
+    started_s: float = 0.0
+    phase_since_s: float = 0.0
+    notice: str = ""
+    fencing_number: int = 0
+
+    @property
+    def is_progressing(self) -> bool:
+        """Return whether the controller still advances the move."""
+        return self.state is MoveState.PROGRESSING
+
+    def as_spec(self) -> dict[str, Any]:
+        """Return the part that the operator writes."""
+        return {
+            "id": self.id,
+            "request_class": self.request_class,
+            "version": self.version,
+            "by_time_s": self.by_time_s,
+            "requested_by": self.requested_by,
+        }
+
+    def as_status(self) -> dict[str, Any]:
+        """Return the part that the controller writes."""
+        return {
+            "id": self.id,
+            "state": self.state.value,
+            "share": self.share,
+            "evidence": dict(self.evidence),
+            "reason": self.reason,
+            "phase": self.phase.value,
+            "servers": self.servers,
+            "previous_version": self.previous_version,
+            "started_s": self.started_s,
+            "phase_since_s": self.phase_since_s,
+            "notice": self.notice,
+            "fencing_number": self.fencing_number,
+        }
+
+
+class _SpecModel(BaseModel):
+    model_config = ConfigDict(extra="forbid")
+
+    id: str = Field(min_length=1, max_length=100)
+    request_class: Name
+    version: Name
+    by_time_s: float = Field(gt=0)
+    requested_by: str = ""
+    cancelled: bool = False
+
+
+class _StatusModel(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    id: str = ""
+    state: MoveState = MoveState.PROGRESSING
+    share: float = Field(default=START_SHARE, ge=0, le=1)
+    evidence: dict[str, int] = {}
+    reason: str = ""
+    phase: MovePhase = MovePhase.START
+    servers: int = Field(default=2, ge=0)
+    previous_version: str = ""
+    started_s: float = 0.0
+    phase_since_s: float = 0.0
+    notice: str = ""
+    fencing_number: int = 0
+
+
+def parse_move(stored: Mapping[str, Any]) -> VersionMove:
+    """Return the move of a stored object with its spec and status.
+
+    A status that names another id belongs to an earlier move of the class
+    and is left out. Raises AzurewickError with code invalid_configuration.
+    """
+    try:
+        spec = _SpecModel.model_validate(stored.get("spec"))
+        status = _StatusModel.model_validate(stored.get("status") or {})
+    except ValidationError as err:
+        raise AzurewickError(
+            ErrorCode.INVALID_CONFIGURATION,
+            describe_validation_error(err),
+            step=Step.CONFIGURE,
+        ) from err
+    if status.id != spec.id:
+        status = _StatusModel(id=spec.id)
+    fields = spec.model_dump(exclude={"cancelled"}) | status.model_dump()
+    move = VersionMove(**fields)
+    if spec.cancelled and move.is_progressing:
+        fields |= {"state": MoveState.CANCELLED, "share": 0.0}
+        return VersionMove(**fields)
+    return move
--- /dev/null
+++ b/azurewick/rollout/planner.py
@@ -0,0 +1,320 @@
+"""Plan of a version move: next share, verdict and notice."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import replace
+from math import ceil
+from math import floor
+from math import inf
+from math import log
+
+from azurewick.rollout.assessment import ALTERNATIVES
+from azurewick.rollout.assessment import Assessment
+from azurewick.rollout.assessment import Measure
+from azurewick.rollout.assessment import MIN_SERVERS
+from azurewick.rollout.assessment import MoveAssessor
+from azurewick.rollout.assessment import ROUTE_ACCEPTANCE_ALTERNATIVES
+from azurewick.rollout.assessment import Verdict
+from azurewick.rollout.counts import EvidenceRow
+from azurewick.rollout.models import MovePhase
+from azurewick.rollout.models import MoveState
+from azurewick.rollout.models import START_SHARE
+from azurewick.rollout.models import TEST_SHARE
+from azurewick.rollout.models import VersionMove
+from azurewick.rollout.sequential_test import ACCEPTANCE_BOUND
+from azurewick.rollout.sequential_test import Alternative
+
+RAMP_SHARES = (0.10, 0.25, 0.50, 1.0)
+# Requests at the least share before the test share: a version that fails
+# most requests shows it within these.
+START_REQUESTS = 30
+# The least share lasts at most this part of the time of the move.
+MAX_START_PART = 0.1
+MIN_STEP_S = 5.0
+# Evidence takes up to two syncs of 2 s to the controller, and the new share
+# one more sync to the gateways.
+CONTROL_DELAY_S = 6.0
+# The ramp begins this much earlier than its expected duration.
+RAMP_RESERVE = 1.5
+
+
+def _requests_to_accept(alternatives: dict[Measure, Alternative]) -> int:
+    good, bad = alternatives[Measure.FAILURES].rates(0.0)
+    return ceil(ACCEPTANCE_BOUND / log((1 - bad) / (1 - good)))
+
+
+# Requests without a failure after which a version, or a route, is accepted.
+REQUESTS_TO_ACCEPT = _requests_to_accept(ALTERNATIVES)
+ROUTE_REQUESTS_TO_ACCEPT = _requests_to_accept(ROUTE_ACCEPTANCE_ALTERNATIVES)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FleetSize:
+    """Live backend servers of the new and of the old version."""
+
+    new_servers: int
+    old_servers: int
+    old_version: str = ""
+
+
+class MovePlanner:
+    """Advances one move from the evidence and from the time left.
+
+    A new planner for a move in progress, as after the loss of a controller,
+    goes on in the stored phase and collects the evidence of it again.
+    """
+
+    def __init__(self, move: VersionMove) -> None:
+        self._assessor = MoveAssessor(move.request_class, move.version)
+        self._servers = move.servers
+
+    def update(self, rows: Iterable[EvidenceRow], now_s: float) -> None:
+        """Add evidence."""
+        self._assessor.update(rows, now_s)
+
+    def decide(
+        self, move: VersionMove, fleet: FleetSize, now_s: float
+    ) -> VersionMove:
+        """Return the move after this step; an equal one if nothing changes.
+
+        now_s is wall-clock time.
+        """
+        if not move.is_progressing:
+            return move
+        if move.started_s <= 0:
+            return self._start(move, fleet, now_s)
+        self._servers = min(move.servers, fleet.new_servers) or (
+            fleet.new_servers
+        )
+        assessment = self._assessor.assess(
+            self._servers, with_routes=move.phase is not MovePhase.RAMP
+        )
+        if assessment.verdict is Verdict.REJECTED:
+            return self.roll_back(move, assessment.reason)
+        moved = self._advance(move, fleet, assessment, now_s)
+        if moved is not move:
+            self._assessor.restart_acceptance()
+            moved = replace(moved, evidence=self._evidence())
+        notice = self._notice(moved, fleet, now_s)
+        # The figures in a notice change with each step; a write for each
+        # would only cost calls of the store.
+        if bool(notice) == bool(move.notice):
+            notice = move.notice
+        return (
+            moved if notice == moved.notice else replace(moved, notice=notice)
+        )
+
+    def review(self, decided: VersionMove) -> VersionMove:
+        """Return a decision that is not written yet, or a rollback."""
+        assessment = self._assessor.assess(self._servers)
+        if not decided.is_progressing or (
+            assessment.verdict is not Verdict.REJECTED
+        ):
+            return decided
+        return self.roll_back(decided, assessment.reason)
+
+    def roll_back(self, move: VersionMove, reason: str) -> VersionMove:
+        """Return the move rolled back for a reason."""
+        return replace(
+            move,
+            state=MoveState.ROLLED_BACK,
+            share=0.0,
+            reason=reason,
+            evidence=self._evidence(),
+        )
+
+    def remaining_s(
+        self, move: VersionMove, fleet: FleetSize, now_s: float
+    ) -> float:
+        """Return the time that the rest of the move needs at least."""
+        if move.phase is MovePhase.RAMP:
+            steps = [s for s in RAMP_SHARES if s >= move.share]
+        else:
+            steps = list(RAMP_SHARES)
+        needed_s = sum(self._step_s(share, now_s) for share in steps)
+        if move.phase in (MovePhase.START, MovePhase.LOAD):
+            needed_s += self._load_s(fleet, now_s)
+        return needed_s
+
+    def _start(
+        self, move: VersionMove, fleet: FleetSize, now_s: float
+    ) -> VersionMove:
+        if fleet.new_servers == 0:
+            notice = f"no live server of version {move.version}"
+            return replace(move, notice=notice)
+        return replace(
+            move,
+            share=START_SHARE,
+            servers=MIN_SERVERS,
+            phase=MovePhase.START,
+            started_s=now_s,
+            phase_since_s=now_s,
+            previous_version=fleet.old_version,
+            notice="",
+        )
+
+    def _advance(
+        self,
+        move: VersionMove,
+        fleet: FleetSize,
+        assessment: Assessment,
+        now_s: float,
+    ) -> VersionMove:
+        is_accepted = assessment.verdict is Verdict.ACCEPTED
+        if move.phase is MovePhase.START:
+            if self._is_start_over(move, fleet, assessment, now_s):
+                return self._enter_load(move, fleet, now_s)
+        elif move.phase is MovePhase.LOAD:
+            if is_accepted:
+                return self._leave_load(move, fleet, now_s)
+        elif move.phase is MovePhase.SOAK:
+            if self._is_ramp_due(move, fleet, now_s):
+                return self._enter_ramp(move, fleet, now_s)
+        elif is_accepted and now_s - move.phase_since_s >= MIN_STEP_S:
+            return self._enter_ramp(move, fleet, now_s)
+        return move
+
+    def _is_start_over(
+        self,
+        move: VersionMove,
+        fleet: FleetSize,
+        assessment: Assessment,
+        now_s: float,
+    ) -> bool:
+        if assessment.requests >= START_REQUESTS:
+            return True
+        duration_s = move.by_time_s - move.started_s
+        if now_s - move.started_s > MAX_START_PART * duration_s:
+            return True
+        needed_s = self.remaining_s(move, fleet, now_s)
+        return needed_s < inf and self._is_due(move, needed_s, now_s)
+
+    def _enter_load(
+        self, move: VersionMove, fleet: FleetSize, now_s: float
+    ) -> VersionMove:
+        share = self._load_share(fleet)
+        return replace(
+            move,
+            phase=MovePhase.LOAD,
+            share=share,
+            servers=max(MIN_SERVERS, round(share * fleet.old_servers)),
+            phase_since_s=now_s,
+        )
+
+    def _leave_load(
+        self, move: VersionMove, fleet: FleetSize, now_s: float
+    ) -> VersionMove:
+        soaking = replace(
+            move,
+            phase=MovePhase.SOAK,
+            share=START_SHARE,
+            servers=MIN_SERVERS,
+            phase_since_s=now_s,
+        )
+        if self._is_ramp_due(soaking, fleet, now_s):
+            return self._enter_ramp(move, fleet, now_s)
+        return soaking
+
+    def _enter_ramp(
+        self, move: VersionMove, fleet: FleetSize, now_s: float
+    ) -> VersionMove:
+        if move.share >= 1.0:
+            return replace(move, state=MoveState.DONE, notice="")
+        share = min(s for s in RAMP_SHARES if s > move.share)
+        if share > self._capacity_share(fleet):
+            return move
+        servers = 0
+        if share < 1.0:
+            servers = max(MIN_SERVERS, ceil(share * fleet.old_servers))
+        return replace(
+            move,
+            phase=MovePhase.RAMP,
+            share=share,
+            servers=servers,
+            phase_since_s=now_s,
+        )
+
+    def _is_ramp_due(
+        self, move: VersionMove, fleet: FleetSize, now_s: float
+    ) -> bool:
+        return self._is_due(move, self.remaining_s(move, fleet, now_s), now_s)
+
+    def _is_due(
+        self, move: VersionMove, needed_s: float, now_s: float
+    ) -> bool:
+        return move.by_time_s - now_s <= RAMP_RESERVE * needed_s
+
+    def _notice(
+        self, move: VersionMove, fleet: FleetSize, now_s: float
+    ) -> str:
+        if not move.is_progressing:
+            return move.notice
+        if fleet.new_servers == 0:
+            return f"no live server of version {move.version}"
+        next_shares = [s for s in RAMP_SHARES if s > move.share]
+        capacity = self._capacity_share(fleet)
+        if (
+            move.phase is MovePhase.RAMP
+            and next_shares
+            and (next_shares[0] > capacity)
+        ):
+            return (
+                f"{fleet.new_servers} servers of version {move.version} can"
+                f" take {capacity:.0%} of the requests"
+            )
+        left_s = move.by_time_s - now_s
+        needed_s = self.remaining_s(move, fleet, now_s)
+        if move.phase is MovePhase.RAMP and move.share >= 1.0:
+            needed_s = 0.0
+        if needed_s <= left_s or self._is_rate_unknown(move, now_s):
+            return ""
+        needed = "more requests" if needed_s == inf else f"{needed_s:.0f} s"
+        return (
+            f"the time can't be met: {max(left_s, 0):.0f} s are left, the"
+            f" move needs {needed}"
+        )
+
+    def _is_rate_unknown(self, move: VersionMove, now_s: float) -> bool:
+        """Return whether it is too early to know the rate of requests."""
+        if self._assessor.requests_per_s(now_s) > 0:
+            return False
+        return now_s - move.phase_since_s < 2 * CONTROL_DELAY_S
+
+    def _capacity_share(self, fleet: FleetSize) -> float:
+        most = max(fleet.new_servers, fleet.old_servers, 1)
+        return fleet.new_servers / most
+
+    def _load_share(self, fleet: FleetSize) -> float:
+        """Return the share that loads whole servers like the old ones."""
+        servers = floor(TEST_SHARE * fleet.old_servers)
+        if servers < MIN_SERVERS:
+            return TEST_SHARE
+        return servers / fleet.old_servers
+
+    def _load_s(self, fleet: FleetSize, now_s: float) -> float:
+        route_requests = ROUTE_REQUESTS_TO_ACCEPT / (
+            self._assessor.rarest_route_share()
+        )
+        needed = max(REQUESTS_TO_ACCEPT, route_requests)
+        return self._time_s(needed, self._load_share(fleet), now_s)
+
+    def _step_s(self, share: float, now_s: float) -> float:
+        return self._time_s(REQUESTS_TO_ACCEPT, share, now_s)
+
+    def _time_s(self, requests: float, share: float, now_s: float) -> float:
+        rate_per_s = share * self._assessor.requests_per_s(now_s)
+        if rate_per_s <= 0:
+            return inf
+        return max(MIN_STEP_S, requests / rate_per_s) + CONTROL_DELAY_S
+
+    def _evidence(self) -> dict[str, int]:
+        counts = self._assessor.new_counts
+        return {
+            "requests": counts.requests,
+            "failures": counts.failures,
+            "slow": counts.slow,
+            "broken": counts.broken,
+            "crashes": counts.crashes,
+        }
