--- /dev/null
+++ b/azurewick/control/models.py
@@ -0,0 +1,56 @@
+"""Data that travels between processes through Sync."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from azurewick.models import LoadReport
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EvidenceCount:
+    """Outcomes that one incarnation of a gateway counted for a version."""
+
+    gateway: str
+    incarnation: str
+    request_class: str
+    version: str
+    route: str
+    requests: int = 0
+    failures: int = 0
+    slow: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CutNotice:
+    """Version that a gateway cut from a class."""
+
+    request_class: str
+    version: str
+    move_id: str
+    reason: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PoisonNotice:
+    """Crashes that one incarnation of an agent counts for a fingerprint.
+
+    remaining_s is the time until the notice is forgotten.
+    """
+
+    fingerprint: str
+    source: str
+    incarnation: str
+    crashes: int
+    remaining_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DigestPart:
+    """Entries of a digest; ages and remaining times are those of now."""
+
+    loads: tuple[LoadReport, ...] = field(default=())
+    evidence: tuple[EvidenceCount, ...] = field(default=())
+    cuts: tuple[CutNotice, ...] = field(default=())
+    poison: tuple[PoisonNotice, ...] = field(default=())
--- /dev/null
+++ b/azurewick/control/sync.py
@@ -0,0 +1,299 @@
+"""Sync between processes: the service of gateways and the client loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from logging import getLogger
+from random import Random
+from typing import Protocol
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Stream
+
+from azurewick.control import control_pb2 as pb
+from azurewick.control.channels import ChannelPool
+from azurewick.control.control_grpc import ControlBase
+from azurewick.control.control_grpc import ControlStub
+from azurewick.control.documents import DocumentName
+from azurewick.control.replica import Replica
+from azurewick.control.topology import Place
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.models import GatewayInstance
+
+_LOGGER = getLogger(__name__)
+
+MAX_HOLD_S = 10.0
+MAX_HELD_CALLS = 1024
+# A peer that is connected answers within its hold and this time.
+ANSWER_GRACE_S = 1.0
+ATTEMPTS_PER_ROUND = 3
+# Each fourth round goes to another gateway, so that nodes whose lists differ
+# and call each other in a circle still learn of changes.
+ROUNDS_PER_CROSS_CHECK = 4
+BOOTSTRAP_PEERS = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Peer:
+    """Gateway to call; a peer from the settings has its address as name."""
+
+    name: str
+    address: str
+
+
+class SyncObserver(Protocol):
+    """What the owner of a sync loop decides and learns."""
+
+    def place(self) -> Place:
+        """Return the own place among the live gateways."""
+
+    def cross_check_peers(self) -> Sequence[GatewayInstance]:
+        """Return gateways for a cross-check, the most useful first."""
+
+    def find_gateway(self, name: str) -> GatewayInstance | None:
+        """Return a listed gateway."""
+
+    def record_contact(self, peer: str) -> None:
+        """Learn that a peer answered."""
+
+    def record_no_contact(self, peer: str) -> None:
+        """Learn that a peer didn't answer."""
+
+    def record_changes(self, changed: set[DocumentName]) -> None:
+        """Learn that documents or urgent digest entries changed."""
+
+
+class SyncNode(ControlBase):
+    """Exchanges documents and digests with peers.
+
+    A call is held while the caller has the newest of everything, so that a
+    change travels at once and an idle cluster exchanges few messages.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        observer: SyncObserver,
+        *,
+        peers: Sequence[str],
+        interval_s: float,
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self._replica = replica
+        self._observer = observer
+        self._peers = tuple(peers)
+        self._interval_s = interval_s
+        self._clock = clock
+        self._random = random
+        self._channels = ChannelPool()
+        self._changed = asyncio.Event()
+        self._push = asyncio.Event()
+        self._bearers: dict[str, None] = {}
+        self._bearer_known = asyncio.Event()
+        self._held = 0
+        self._rounds = 0
+        self._stopping = False
+        self.exchanges = 0
+
+    def close(self) -> None:
+        """Answer the held calls and close the connections."""
+        self._stopping = True
+        self._wake_held()
+        self._channels.close()
+
+    def notify(self, *, urgent: bool = False) -> None:
+        """Answer held calls; urgent also sends the digest upwards now."""
+        self._wake_held()
+        if urgent:
+            self._push.set()
+
+    async def Sync(  # noqa: N802 - name of the protocol
+        self, stream: Stream[pb.SyncRequest, pb.SyncReply]
+    ) -> None:
+        """Answer a call of a gateway or agent."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        try:
+            reply = await self.async_answer(request)
+        except ValueError as err:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(err)) from err
+        await stream.send_message(reply)
+
+    async def async_answer(self, request: pb.SyncRequest) -> pb.SyncReply:
+        """Return the answer to a request, after the hold.
+
+        Raises ValueError when the request is not valid.
+        """
+        urgent_before = self._replica.digest.urgent_position
+        if self._replica.accept_request(request, self._clock()):
+            self._bearers[request.node] = None
+            self._bearer_known.set()
+        if self._replica.digest.urgent_position != urgent_before:
+            self._observer.record_changes(set())
+            self.notify(urgent=True)
+        if self._held < MAX_HELD_CALLS:
+            self._held += 1
+            try:
+                await self._async_hold(request)
+            finally:
+                self._held -= 1
+        return self._replica.answer(request, self._clock())
+
+    async def async_bootstrap(self) -> bool:
+        """Ask several peers for their documents; False when none answers."""
+        count = min(BOOTSTRAP_PEERS, len(self._peers))
+        chosen = self._random.sample(self._peers, count)
+        results = await asyncio.gather(
+            *(
+                self._async_try(Peer(name=address, address=address))
+                for address in chosen
+            )
+        )
+        return any(results)
+
+    async def async_run_rounds(self) -> None:
+        """Exchange with the node's gateway until cancelled."""
+        while True:
+            started_s = self._clock()
+            has_news = await self._async_round()
+            spent_s = self._clock() - started_s
+            gap_s = self._interval_s * self._random.uniform(0.05, 0.1)
+            if not has_news:
+                gap_s = max(gap_s, self._jittered_interval_s() - spent_s)
+            await asyncio.sleep(gap_s)
+
+    async def async_run_pushes(self) -> None:
+        """Send urgent entries upwards without waiting for the next round."""
+        while True:
+            await self._push.wait()
+            self._push.clear()
+            for gateway in self._observer.place().candidates[:2]:
+                if await self._async_try(_as_peer(gateway), digest=True):
+                    break
+            await asyncio.sleep(self._interval_s * 0.05)
+
+    async def async_run_pulls(self) -> None:
+        """Ask callers that have newer documents for them."""
+        while True:
+            await self._bearer_known.wait()
+            self._bearer_known.clear()
+            bearers, self._bearers = self._bearers, {}
+            for name in list(bearers)[:ATTEMPTS_PER_ROUND]:
+                gateway = self._observer.find_gateway(name)
+                if gateway is not None:
+                    await self._async_try(_as_peer(gateway))
+            await asyncio.sleep(self._interval_s * 0.05)
+
+    async def async_exchange(
+        self, peer: Peer, *, hold_s: float = 0.0, digest: bool = False
+    ) -> bool:
+        """Make one call; True when it brought a change.
+
+        Raises AzurewickError with code peer_unreachable.
+        """
+        request, sent = self._replica.build_request(
+            peer.name, hold_s=hold_s, with_digest=digest, now_s=self._clock()
+        )
+        urgent_before = self._replica.digest.urgent_position
+        self.exchanges += 1
+        try:
+            async with asyncio.timeout(hold_s + ANSWER_GRACE_S):
+                stub = ControlStub(self._channels.get(peer.address))
+                reply = await stub.Sync(request)
+            changed = self._replica.accept_reply(
+                peer.name, reply, sent, self._clock()
+            )
+        except (GRPCError, OSError, TimeoutError, ValueError) as err:
+            raise AzurewickError(
+                ErrorCode.PEER_UNREACHABLE,
+                repr(err),
+                step=Step.SYNC,
+                peer=peer.name,
+            ) from err
+        self._observer.record_contact(peer.name)
+        is_urgent = self._replica.digest.urgent_position != urgent_before
+        if changed or is_urgent:
+            self._observer.record_changes(changed)
+            self._wake_held()
+        return bool(changed) or is_urgent
+
+    async def _async_round(self) -> bool:
+        """Call peers until one answers; True when it brought a change."""
+        self._rounds += 1
+        if self._rounds % ROUNDS_PER_CROSS_CHECK == 0:
+            for gateway in self._observer.cross_check_peers()[:1]:
+                await self._async_try(_as_peer(gateway))
+        place = self._observer.place()
+        hold_s = self._jittered_interval_s()
+        for peer in self._choose_peers(place):
+            try:
+                return await self.async_exchange(
+                    peer, hold_s=hold_s, digest=place.exchanges_digest
+                )
+            except AzurewickError as err:
+                _LOGGER.debug("sync failed: %s", err)
+                self._observer.record_no_contact(peer.name)
+            # The first peer may have used up the time by its silence.
+            hold_s = 0.0
+        return False
+
+    def _choose_peers(self, place: Place) -> list[Peer]:
+        peers = [_as_peer(gateway) for gateway in place.candidates]
+        if len(peers) >= ATTEMPTS_PER_ROUND:
+            return peers[:ATTEMPTS_PER_ROUND]
+        fallback = self._random.sample(self._peers, len(self._peers))
+        known = {peer.address for peer in peers}
+        peers += [
+            Peer(name=address, address=address)
+            for address in fallback
+            if address not in known
+        ]
+        return peers[:ATTEMPTS_PER_ROUND]
+
+    async def _async_try(self, peer: Peer, *, digest: bool = False) -> bool:
+        """Make one call without a hold; True when the peer answered."""
+        try:
+            await self.async_exchange(peer, digest=digest)
+        except AzurewickError as err:
+            _LOGGER.debug("sync failed: %s", err)
+            self._observer.record_no_contact(peer.name)
+            return False
+        return True
+
+    async def _async_hold(self, request: pb.SyncRequest) -> None:
+        """Wait until there is news for the caller or the hold ends."""
+        hold_s = min(MAX_HOLD_S, request.hold_ms / 1000)
+        try:
+            async with asyncio.timeout(hold_s):
+                while not (self._has_news(request) or self._stopping):
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _has_news(self, request: pb.SyncRequest) -> bool:
+        if self._replica.is_behind(request):
+            return True
+        if not request.digest_limit:
+            return False
+        is_known = request.peer_incarnation == self._replica.incarnation
+        received = request.digest_position if is_known else 0
+        return received < self._replica.digest.urgent_position
+
+    def _wake_held(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _jittered_interval_s(self) -> float:
+        return self._interval_s * self._random.uniform(0.9, 1.1)
+
+
+def _as_peer(gateway: GatewayInstance) -> Peer:
+    return Peer(name=gateway.name, address=gateway.control_address)
--- /dev/null
+++ b/azurewick/control/topology.py
@@ -0,0 +1,135 @@
+"""Which gateways hold watches and whom each node calls.
+
+The gateways of a failure domain are ranked by rendezvous hashing. The first
+two are its relays. Below the first, each gateway serves two others, so that
+no node has to send each change to a third of the fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from xxhash import xxh64_intdigest
+
+from azurewick.models import GatewayInstance
+
+RELAYS_PER_DOMAIN = 2
+FAN_OUT = 2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Place of a node among the gateways that it knows.
+
+    candidates are the gateways to call, best first. exchanges_digest is
+    false for the one gateway above all others, whose neighbours call it.
+    """
+
+    is_relay: bool
+    candidates: tuple[GatewayInstance, ...]
+    exchanges_digest: bool = True
+
+
+def rank_gateways(
+    gateways: Iterable[GatewayInstance], key: str
+) -> list[GatewayInstance]:
+    """Return gateways in the rendezvous order of a key."""
+    return sorted(
+        gateways,
+        key=lambda gateway: (
+            xxh64_intdigest(f"{key}/{gateway.name}".encode()),
+            gateway.name,
+        ),
+    )
+
+
+def place_gateway(
+    name: str,
+    region: str,
+    failure_domain: str,
+    gateways: Iterable[GatewayInstance],
+) -> Place:
+    """Return the place of a gateway, which need not be in the list yet."""
+    own = GatewayInstance(
+        name=name,
+        control_address="",
+        failure_domain=failure_domain,
+        region=region,
+    )
+    others = [gateway for gateway in gateways if gateway.name != name]
+    ranked = _rank_by_domain([*others, own])
+    rank = [one.name for one in ranked[failure_domain]].index(name)
+    domains = _order_domains(ranked, region, failure_domain)
+    heads = _find_heads(ranked)
+    above: list[GatewayInstance] = []
+    parent = rank
+    while parent > 0:
+        parent = (parent - 1) // FAN_OUT
+        above.append(ranked[failure_domain][parent])
+    if rank == 0 and heads[region].name != name:
+        above.append(heads[region])
+    top = heads[min(heads)]
+    if rank == 0 and top.name != name:
+        above.append(top)
+    first = [ranked[domain][0] for domain in domains]
+    second = [one for domain in domains for one in ranked[domain][1:2]]
+    candidates = dict.fromkeys([*above, *first, *second])
+    candidates.pop(own, None)
+    return Place(
+        is_relay=rank < RELAYS_PER_DOMAIN,
+        candidates=tuple(candidates),
+        exchanges_digest=top.name != name,
+    )
+
+
+def place_agent(
+    name: str,
+    region: str,
+    failure_domain: str,
+    gateways: Iterable[GatewayInstance],
+) -> Place:
+    """Return the place of an agent: spread over its domain's gateways."""
+    ranked = rank_gateways(gateways, name)
+    ranked.sort(
+        key=lambda gateway: (
+            gateway.failure_domain != failure_domain,
+            gateway.region != region,
+        )
+    )
+    return Place(is_relay=False, candidates=tuple(ranked))
+
+
+def _rank_by_domain(
+    gateways: list[GatewayInstance],
+) -> dict[str, list[GatewayInstance]]:
+    return {
+        domain: rank_gateways(
+            (one for one in gateways if one.failure_domain == domain), domain
+        )
+        for domain in sorted({one.failure_domain for one in gateways})
+    }
+
+
+def _order_domains(
+    ranked: dict[str, list[GatewayInstance]], region: str, failure_domain: str
+) -> list[str]:
+    """Return the domains, the own one and the own region first."""
+    return sorted(
+        ranked,
+        key=lambda domain: (
+            domain != failure_domain,
+            ranked[domain][0].region != region,
+            domain,
+        ),
+    )
+
+
+def _find_heads(
+    ranked: dict[str, list[GatewayInstance]],
+) -> dict[str, GatewayInstance]:
+    """Return the first gateway of each region's first domain."""
+    heads: dict[str, GatewayInstance] = {}
+    for domain in sorted(ranked):
+        heads.setdefault(ranked[domain][0].region, ranked[domain][0])
+    return heads
--- a/azurewick/membership/coordinator.py
+++ b/azurewick/membership/coordinator.py
@@ -4,60 +4,108 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Coroutine
+from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from logging import getLogger
 from random import Random
 from typing import Any
+from uuid import uuid4
+
+from grpclib.server import Server
 
 from azurewick.configuration.snapshot import build_snapshot
 from azurewick.configuration.snapshot import ConfigurationSnapshot
-from azurewick.control.documents import describe_object
-from azurewick.control.documents import Document
+from azurewick.control.channels import open_listener
 from azurewick.control.documents import DocumentName
 from azurewick.control.documents import join_configuration
-from azurewick.control.documents import split_configuration
+from azurewick.control.models import CutNotice
+from azurewick.control.models import DigestPart
+from azurewick.control.models import EvidenceCount
+from azurewick.control.models import PoisonNotice
+from azurewick.control.replica import Replica
+from azurewick.control.replica import ROLE_AGENT
+from azurewick.control.sync import SyncNode
+from azurewick.control.topology import Place
+from azurewick.control.topology import place_agent
+from azurewick.control.topology import place_gateway
 from azurewick.errors import AzurewickError
+from azurewick.membership.prober import Prober
+from azurewick.membership.store_source import StoreSource
 from azurewick.membership.view import MembershipView
-from azurewick.membership.watcher import StoreWatcher
 from azurewick.models import BackendServer
 from azurewick.models import GatewayInstance
 from azurewick.models import LoadReport
 from azurewick.platform.protocols import ObjectStore
-from azurewick.platform.protocols import StoredObject
-from azurewick.settings.models import NodeSettings
+from azurewick.settings.models import AgentSettings
+from azurewick.settings.models import GatewaySettings
 
 _LOGGER = getLogger(__name__)
 
-CONFIGURATION_NAME = "fleet"
-PLURAL_CONFIGURATIONS = "configurations"
-PLURAL_INSTANCES = "instances"
-PLURAL_MOVES = "versionmoves"
+# A gateway that no other answers for this long reads the store itself.
+ISOLATION_S = 10.0
+FORGET_INTERVAL_S = 5.0
 
 
 class ClusterState:
-    """Configuration, moves and live instances, for one process."""
+    """Configuration, moves, live instances and digest, for one process.
+
+    A gateway serves Sync on its control address; the two relays of each
+    failure domain also watch the store. An agent only calls gateways. The
+    snapshot never goes back to a smaller revision.
+    """
 
     def __init__(
         self,
-        settings: NodeSettings,
+        settings: GatewaySettings | AgentSettings,
         store: ObjectStore,
         clock: Callable[[], float],
+        *,
+        incarnation: str = "",
     ) -> None:
         self._settings = settings
-        self._store = store
         self._clock = clock
-        self._random = Random(settings.name)
+        self._random = Random(f"{settings.name}/{incarnation or uuid4()}")
+        self.incarnation = incarnation or uuid4().hex[:12]
         self._view = MembershipView()
-        self._documents = {name: Document() for name in DocumentName}
+        self._replica = Replica(
+            settings.name,
+            settings.role,
+            self.incarnation,
+            self._validate,
+            self._observe_load,
+        )
+        self._source = StoreSource(
+            store, self._take_stored, clock, self._random
+        )
+        self._sync: SyncNode | None = None
+        self._server: Server | None = None
+        self._bootstrapped = False
+        self._contact_s = clock()
+        self._candidate: ConfigurationSnapshot | None = None
         self._listeners: list[Callable[[], None]] = []
+        self._load_listeners: list[Callable[[LoadReport], None]] = []
+        self._contact_listeners: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self.control_port = 0
         self.snapshot: ConfigurationSnapshot | None = None
         self.moves: tuple[dict[str, Any], ...] = ()
 
     @property
     def is_ready(self) -> bool:
-        """Return whether a configuration is in force."""
-        return self.snapshot is not None
+        """Return whether a configuration is in force.
+
+        A starting process is not ready before several peers were asked, so
+        that one peer which is behind doesn't decide.
+        """
+        return self._bootstrapped and self.snapshot is not None
+
+    @property
+    def is_relay(self) -> bool:
+        """Return whether this process watches the configuration."""
+        return DocumentName.CONFIGURATION in self._source.watched
 
     def backend_servers(
         self, pool: str, now_s: float
@@ -79,81 +127,257 @@
         """Count an answered offer or probe."""
         self._view.record_success(name, now_s)
 
+    def record_leaving(self, name: str, now_s: float) -> None:
+        """Take the notice of an instance that it leaves."""
+        self._view.record_leaving(name, now_s)
+
     def record_load(self, report: LoadReport, now_s: float) -> None:
-        """Take a load report from an answer of an agent."""
-        self._view.record_load(report, now_s)
+        """Take a load report from an agent's answer, or an agent's own."""
+        self._observe_load(report, now_s)
+        self._merge(DigestPart(loads=(report,)), now_s)
+
+    def record_evidence(
+        self, counts: Iterable[EvidenceCount], now_s: float
+    ) -> None:
+        """Share the own counts since the start of this process."""
+        self._merge(DigestPart(evidence=tuple(counts)), now_s)
+
+    def record_cut(self, cut: CutNotice, now_s: float) -> None:
+        """Share a cut of a version."""
+        self._merge(DigestPart(cuts=(cut,)), now_s)
+
+    def record_poison(self, notice: PoisonNotice, now_s: float) -> None:
+        """Share crashes that an agent counts for a fingerprint."""
+        self._merge(DigestPart(poison=(notice,)), now_s)
+
+    def shared_entries(self, now_s: float) -> DigestPart:
+        """Return the merged loads, evidence, cuts and poison."""
+        return self._replica.digest.all_entries(now_s)
 
     def async_add_listener(
         self, listener: Callable[[], None]
     ) -> Callable[[], None]:
-        """Call a listener after each change; return its removal."""
+        """Call a listener after a change; return its removal.
+
+        Changes are those of documents and urgent ones of shared entries.
+        """
         self._listeners.append(listener)
         return lambda: self._listeners.remove(listener)
 
+    def async_add_load_listener(
+        self, listener: Callable[[LoadReport], None]
+    ) -> None:
+        """Call a listener with each load report that arrives."""
+        self._load_listeners.append(listener)
+
+    def async_add_contact_listener(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each Sync that a gateway answered."""
+        self._contact_listeners.append(listener)
+
     async def async_start(self) -> None:
-        """Start the watches."""
-        for plural, on_change in (
-            (PLURAL_CONFIGURATIONS, self._update_configuration),
-            (PLURAL_MOVES, self._update_moves),
-            (PLURAL_INSTANCES, self._update_instances),
-        ):
-            watcher = StoreWatcher(
-                self._store, plural, on_change, self._clock, self._random
-            )
-            self._tasks.append(asyncio.create_task(watcher.async_run()))
+        """Listen on the control address of a gateway and start syncing.
+
+        Raises OSError when the address is not free.
+        """
+        self._sync = SyncNode(
+            self._replica,
+            self,
+            peers=[
+                peer
+                for peer in self._settings.peers
+                if peer != self._settings.control_address
+            ],
+            interval_s=self._settings.sync_interval_s,
+            clock=self._clock,
+            random=self._random,
+        )
+        if self._settings.role != ROLE_AGENT:
+            await self._async_listen(self._sync)
+        self._tasks.append(asyncio.create_task(self._async_run(self._sync)))
 
     async def async_stop(self) -> None:
-        """Stop the watches."""
+        """End all tasks, answer held calls and close the connections."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks.clear()
+        await self._source.async_stop()
+        if self._sync is not None:
+            self._sync.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+            self._server = None
+
+    async def _async_listen(self, sync: SyncNode) -> None:
+        listener = open_listener(self._settings.control_address)
+        self.control_port = listener.getsockname()[1]
+        self._server = Server([sync])
+        await self._server.start(sock=listener)
+
+    async def _async_run(self, sync: SyncNode) -> None:
+        await sync.async_bootstrap()
+        self._bootstrapped = True
+        self._notify()
+        loops = [
+            sync.async_run_rounds,
+            sync.async_run_pushes,
+            sync.async_run_pulls,
+            self._async_maintain,
+        ]
+        if self._settings.role != ROLE_AGENT:
+            prober = Prober(
+                self._settings.name, self._view, self._clock, self.record_load
+            )
+            loops.append(prober.async_run)
+        await asyncio.gather(*(self._async_keep_up(loop) for loop in loops))
 
-    def _update_configuration(
-        self, objects: Mapping[str, StoredObject], version: int
+    async def _async_keep_up(
+        self, loop: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
-        item = objects.get(CONFIGURATION_NAME)
-        if item is None:
-            return
-        try:
-            build_snapshot(item.spec, item.version)
-        except AzurewickError as err:
-            _LOGGER.error("configuration %d refused: %s", item.version, err)
-            return
-        self._accept(
-            DocumentName.CONFIGURATION,
-            split_configuration(item.spec),
-            item.version,
+        """Run a loop until cancelled; start it again after a fault."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                _LOGGER.exception("%s failed", loop.__qualname__)
+            await asyncio.sleep(self._settings.sync_interval_s)
+
+    async def _async_maintain(self) -> None:
+        """Choose the watches again and drop expired entries."""
+        # Processes that start together don't all list at the same moment.
+        interval_s = self._settings.sync_interval_s
+        await asyncio.sleep(self._random.uniform(0.0, interval_s / 2))
+        forgotten_s = self._clock()
+        while True:
+            now_s = self._clock()
+            self._source.watch(self._choose_watches(now_s))
+            if now_s - forgotten_s > FORGET_INTERVAL_S:
+                forgotten_s = now_s
+                moves = self._replica.documents[DocumentName.MOVES]
+                self._replica.digest.forget(
+                    now_s, set(moves.items) if moves.revision else None
+                )
+            await asyncio.sleep(interval_s / 2)
+
+    def _choose_watches(self, now_s: float) -> Collection[DocumentName]:
+        if self._settings.role == ROLE_AGENT:
+            return ()
+        if not self._replica.documents[DocumentName.INSTANCES].revision:
+            # Without the list a gateway can't know whether it is a relay.
+            return (DocumentName.INSTANCES,)
+        is_isolated = now_s - self._contact_s > ISOLATION_S
+        if self.place().is_relay or is_isolated:
+            return tuple(DocumentName)
+        return ()
+
+    def place(self) -> Place:
+        """Return the own place among the live gateways."""
+        settings = self._settings
+        choose = place_agent if settings.role == ROLE_AGENT else place_gateway
+        return choose(
+            settings.name,
+            settings.region,
+            settings.failure_domain,
+            self._view.gateways(),
         )
 
-    def _update_moves(
-        self, objects: Mapping[str, StoredObject], version: int
-    ) -> None:
-        items = {name: describe_object(one) for name, one in objects.items()}
-        self._accept(DocumentName.MOVES, items, version)
+    def cross_check_peers(self) -> Sequence[GatewayInstance]:
+        """Return a gateway that may be back, or another of the domain."""
+        waiting = self._view.gateways_to_retry(self._clock())
+        others = [
+            one
+            for one in self._view.gateways()
+            if one.name != self._settings.name
+        ]
+        near = [
+            one
+            for one in others
+            if one.failure_domain == self._settings.failure_domain
+        ]
+        choice = list(waiting) or near or others
+        return self._random.sample(choice, min(1, len(choice)))
+
+    def find_gateway(self, name: str) -> GatewayInstance | None:
+        """Return a listed gateway."""
+        return self._view.find_gateway(name)
 
-    def _update_instances(
-        self, objects: Mapping[str, StoredObject], version: int
+    def record_contact(self, peer: str) -> None:
+        """Learn that a gateway answered a Sync."""
+        self._contact_s = self._clock()
+        self._view.record_success(peer, self._contact_s)
+        for listener in tuple(self._contact_listeners):
+            listener()
+
+    def record_no_contact(self, peer: str) -> None:
+        """Learn that a gateway didn't answer a Sync."""
+        if self._view.find_gateway(peer) is not None:
+            self._view.record_failure(peer, self._clock(), refused=True)
+
+    def record_changes(self, changed: set[DocumentName]) -> None:
+        """Put changed documents in force and call the listeners."""
+        for name in changed:
+            self._put_in_force(name)
+        self._notify()
+
+    def _take_stored(
+        self, name: DocumentName, items: Mapping[str, Any], revision: int
     ) -> None:
-        items = {name: one.spec for name, one in objects.items()}
-        self._accept(DocumentName.INSTANCES, items, version)
+        """Take a document that a watch of the store brought."""
+        document = self._replica.documents[name]
+        # A list's version grows with each write to the store. Unchanged
+        # content keeps its revision, so that it isn't sent around again.
+        is_list = name is not DocumentName.CONFIGURATION
+        if is_list and document.revision and items == document.items:
+            return
+        if not self._replica.accept(name, items, revision):
+            return
+        self.record_changes({name})
+        if self._sync is not None:
+            self._sync.notify()
 
-    def _accept(
+    def _validate(
         self, name: DocumentName, items: Mapping[str, Any], revision: int
     ) -> bool:
-        """Take a document if it is newer; False when nothing changed."""
-        document = self._documents[name]
-        if document.revision and items == document.items:
-            return False
-        if not document.replace(items, revision):
+        if name is not DocumentName.CONFIGURATION:
+            return True
+        try:
+            self._candidate = build_snapshot(
+                join_configuration(items), revision
+            )
+        except (AzurewickError, KeyError) as err:
+            _LOGGER.error("configuration %d refused: %s", revision, err)
             return False
+        return True
+
+    def _put_in_force(self, name: DocumentName) -> None:
+        document = self._replica.documents[name]
         if name is DocumentName.CONFIGURATION:
-            self.snapshot = build_snapshot(join_configuration(items), revision)
-            _LOGGER.info("configuration %d is in force", revision)
+            self.snapshot = self._candidate
+            _LOGGER.info("configuration %d is in force", document.revision)
         elif name is DocumentName.MOVES:
+            items = document.items
             self.moves = tuple(items[key] for key in sorted(items))
         else:
-            self._view.update_list(items, revision, self._clock())
+            self._view.update_list(
+                document.items, document.revision, self._clock()
+            )
+
+    def _merge(self, part: DigestPart, now_s: float) -> None:
+        digest = self._replica.digest
+        urgent_before = digest.urgent_position
+        digest.merge(part, self._settings.name, now_s)
+        if digest.urgent_position == urgent_before:
+            return
+        self._notify()
+        if self._sync is not None:
+            self._sync.notify(urgent=True)
+
+    def _observe_load(self, report: LoadReport, now_s: float) -> None:
+        self._view.record_load(report, now_s)
+        for listener in tuple(self._load_listeners):
+            listener(report)
+
+    def _notify(self) -> None:
         for listener in tuple(self._listeners):
             listener()
-        return True
--- a/azurewick/membership/view.py
+++ b/azurewick/membership/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -18,7 +19,7 @@
 # doubles with each further loss, so that a server which works now and then
 # doesn't come and go with each probe.
 MINIMUM_ABSENCE_S = 1.0
-MAXIMUM_ABSENCE_S = 60.0
+MAXIMUM_ABSENCE_S = 15.0
 # A returned server is on trial for this long: one failure takes it out.
 TRIAL_S = 10.0
 # After this time without a failure the absence starts small again.
@@ -95,12 +96,14 @@
         health.last_failure_s = now_s
         health.failures += 1
         if health.suspected:
-            return
-        if (
-            refused
-            or health.failures >= PROBE_FAILURES_UNTIL_LEAVING
-            or now_s < health.trial_until_s
-        ):
+            is_lost = now_s >= health.absent_until_s
+        else:
+            is_lost = (
+                refused
+                or health.failures >= PROBE_FAILURES_UNTIL_LEAVING
+                or now_s < health.trial_until_s
+            )
+        if is_lost:
             health.suspected = True
             health.absent_until_s = now_s + health.absence_s
             health.absence_s = min(MAXIMUM_ABSENCE_S, health.absence_s * 2)
@@ -111,8 +114,10 @@
         if health is None:
             return
         health.touched_s = now_s
+        if health.suspected and now_s < health.absent_until_s:
+            return
         health.failures = 0
-        if health.suspected and now_s >= health.absent_until_s:
+        if health.suspected:
             health.suspected = False
             health.trial_until_s = now_s + TRIAL_S
 
@@ -171,21 +176,38 @@
             and self.is_available(gateway.name)
         )
 
-    def servers_to_probe(self, limit: int) -> tuple[BackendServer, ...]:
-        """Return listed servers with a recent failure, suspects included.
+    def servers_to_probe(
+        self, limit: int, now_s: float
+    ) -> tuple[BackendServer, ...]:
+        """Return listed servers with a recent failure.
 
-        The servers that waited longest for news come first.
+        Lost ones are included when their absence is over. The servers that
+        waited longest for news come first.
         """
+        names = self._names_to_retry(self._instances.servers, now_s)
+        return tuple(self._instances.servers[name] for name in names[:limit])
+
+    def gateways_to_retry(self, now_s: float) -> tuple[GatewayInstance, ...]:
+        """Return live listed gateways that were lost and may be back."""
+        names = self._names_to_retry(self._instances.gateways, now_s)
+        found = (self._instances.gateways[name] for name in names)
+        return tuple(one for one in found if one.state is InstanceState.LIVE)
+
+    def find_gateway(self, name: str) -> GatewayInstance | None:
+        """Return a listed gateway."""
+        return self._instances.gateways.get(name)
+
+    def _names_to_retry(
+        self, listed: Collection[str], now_s: float
+    ) -> list[str]:
         waiting = [
             (health.touched_s, name)
             for name, health in self._health.items()
-            if (health.failures or health.suspected)
-            and name in self._instances.servers
+            if health.failures
+            and not (health.suspected and now_s < health.absent_until_s)
+            and name in listed
         ]
-        return tuple(
-            self._instances.servers[name]
-            for _, name in sorted(waiting)[:limit]
-        )
+        return [name for _, name in sorted(waiting)]
 
     def _get_health(self, name: str, now_s: float) -> _Health:
         health = self._health.setdefault(name, _Health())
--- /dev/null
+++ b/tests/control/test_sync.py
@@ -0,0 +1,187 @@
+"""Tests of Sync with several processes and faults."""
+
+from __future__ import annotations
+
+from unittest import IsolatedAsyncioTestCase
+
+from azurewick.control.models import CutNotice
+from azurewick.control.models import PoisonNotice
+from tests.control.builders import Cluster
+from tests.control.builders import SilentServer
+from tests.membership.builders import async_until
+from tests.membership.builders import configuration_spec
+from tests.membership.builders import gateway_spec
+from tests.membership.builders import load_report
+
+GATEWAYS = tuple(f"gateway-{number}" for number in range(5))
+CONFIGURATION = ("configurations", "fleet")
+
+
+class SyncTest(IsolatedAsyncioTestCase):
+    """Guards against a configuration that isn't in force or reverts."""
+
+    async def asyncSetUp(self):
+        self.cluster = Cluster(self)
+
+    async def _async_start_all(self):
+        self._put()
+        for name in GATEWAYS:
+            await self.cluster.async_add(name)
+        await self.cluster.async_add(
+            "agent-1",
+            role="agent",
+            peers=[self.cluster.address(name) for name in GATEWAYS[:2]],
+        )
+        await self._async_in_force()
+        # Each gateway has seen the whole list and chosen its watches.
+        await async_until(
+            lambda: (
+                [
+                    sum(node.is_relay for node in self.cluster.nodes.values()),
+                    min(
+                        len(node.gateways(0.0))
+                        for node in self.cluster.nodes.values()
+                    ),
+                ]
+                == [2, len(GATEWAYS)]
+            )
+        )
+
+    def _put(self, customers=1):
+        spec = configuration_spec(customers)
+        item = self.cluster.store.put(*CONFIGURATION, spec)
+        self.revision = item.version
+
+    async def _async_in_force(self):
+        await async_until(lambda: self.cluster.revisions() == {self.revision})
+
+    async def test_two_relays_watch_and_the_others_follow(self):
+        await self._async_start_all()
+        self._put(2)
+        await self._async_in_force()
+        for node in self.cluster.nodes.values():
+            self.assertEqual(2, len(node.snapshot.customers))
+
+    async def test_faults_of_relays(self):
+        """A change arrives although a relay is gone or without store."""
+        await self._async_start_all()
+        relays = [
+            name for name, node in self.cluster.nodes.items() if node.is_relay
+        ]
+        for name, fault in (
+            ("store access cut", self._async_cut),
+            ("stopped, still in the list", self.cluster.async_remove),
+        ):
+            with self.subTest(name):
+                await fault(relays[0])
+                self._put(3)
+                await self._async_in_force()
+
+    async def _async_cut(self, name):
+        self.cluster.access[name].cut()
+        # Ends the watch that runs on the shared store.
+        self.cluster.store.set_down(True)
+        self.cluster.store.set_down(False)
+
+    async def test_start_during_store_outage_takes_newest_peer(self):
+        """A peer that is behind must not decide what a start uses."""
+        self._put()
+        behind = await self.cluster.async_add("gateway-0", listed=False)
+        await async_until(lambda: behind.is_ready)
+        await behind.async_stop()
+        # The one that is behind restarts without store, from its state.
+        old = self.cluster.nodes.pop("gateway-0")
+        old_access = self.cluster.access["gateway-0"]
+        old_access.cut()
+        await old.async_start()
+        self.addAsyncCleanup(old.async_stop)
+        old_address = f"127.0.0.1:{old.control_port}"
+        self._put(2)
+        newest = await self.cluster.async_add("gateway-1", listed=False)
+        await async_until(lambda: newest.is_ready)
+        self.cluster.store.set_down(True)
+        started = await self.cluster.async_add(
+            "gateway-2",
+            peers=[old_address, self.cluster.address("gateway-1")],
+            cut=True,
+            listed=False,
+        )
+        self.assertFalse(started.is_ready)
+        seen = []
+        started.async_add_listener(
+            lambda: seen.append((started.is_ready, started.snapshot.revision))
+        )
+        await async_until(lambda: started.is_ready)
+        ready = [revision for is_ready, revision in seen if is_ready]
+        self.assertEqual({self.revision}, set(ready))
+        self.assertEqual(1, len(old.snapshot.customers))
+
+    async def test_start_without_any_answer_is_not_ready(self):
+        self._put()
+        self.cluster.store.set_down(True)
+        node = await self.cluster.async_add("gateway-0", listed=False)
+        await async_until(lambda: self.cluster.store.calls.count("list") >= 2)
+        self.assertFalse(node.is_ready)
+        self.cluster.store.set_down(False)
+        self.cluster.store.put(
+            "instances",
+            "gateway-0",
+            gateway_spec(self.cluster.address("gateway-0")),
+        )
+        await async_until(lambda: node.is_ready)
+
+    async def test_frozen_peer_doesnt_stop_a_node(self):
+        silent = SilentServer()
+        address = await silent.async_start()
+        self.addCleanup(silent.server.close)
+        self._put()
+        await self.cluster.async_add("gateway-0")
+        agent = await self.cluster.async_add(
+            "agent-1",
+            role="agent",
+            peers=[address, self.cluster.address("gateway-0")],
+        )
+        # The frozen gateway is listed, so that the agent may prefer it.
+        for number in range(8):
+            self.cluster.store.put(
+                "instances", f"frozen-{number}", gateway_spec(address)
+            )
+        await async_until(
+            lambda: agent.is_ready and len(agent.gateways(0.0)) > 1
+        )
+        contacts = []
+        agent.async_add_contact_listener(lambda: contacts.append(1))
+        self._put(2)
+        await self._async_in_force()
+        self.assertTrue(silent.connected)
+        self.assertTrue(contacts)
+
+    async def test_urgent_entries_reach_each_gateway(self):
+        """Cuts, poison and leaving servers must not wait for a period."""
+        await self._async_start_all()
+        nodes = self.cluster.nodes
+        cut = CutNotice(request_class="c", version="v", move_id="m")
+        notice = PoisonNotice(
+            fingerprint="f",
+            source="agent-1",
+            incarnation="i",
+            crashes=1,
+            remaining_s=900.0,
+        )
+        agent = nodes["agent-1"]
+        now_s = agent._clock()
+        agent.record_load(load_report(), now_s)
+        agent.record_poison(notice, now_s)
+        agent.record_load(load_report(draining=True), now_s + 0.001)
+        nodes[GATEWAYS[-1]].record_cut(cut, now_s)
+        gateways = [nodes[name] for name in GATEWAYS]
+
+        def is_known(node):
+            entries = node.shared_entries(node._clock())
+            return (
+                entries.cuts
+                and entries.poison
+                and not node.backend_servers("chat", 0.0)
+            )
+
+        await async_until(lambda: all(map(is_known, gateways)))
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -102,6 +102,17 @@
             now_s += 1.0
         self.assertLess(changes, 2 * (7 + 600 / MAXIMUM_ABSENCE_S))
 
+    def test_lost_server_is_probed_when_its_absence_is_over(self):
+        view = MembershipView()
+        view.update_list({NAME: agent_spec()}, 1, 0.0)
+        refuse(view, 0.0)
+        probed_s = []
+        for second in range(1, 60):
+            if view.servers_to_probe(8, second):
+                probed_s.append(second)
+                fail(view, second)
+        self.assertEqual([1, 3, 7, 15, 30, 45], probed_s)
+
     def test_probes_go_to_failing_servers_only(self):
         view = MembershipView()
         specs = {f"agent-{n}": agent_spec() for n in range(3)}
@@ -109,5 +120,5 @@
         view.record_failure("agent-2", 2.0)
         view.record_failure(NAME, 1.0)
         view.record_failure("unlisted", 1.0)
-        names = [server.name for server in view.servers_to_probe(8)]
+        names = [server.name for server in view.servers_to_probe(8, 3.0)]
         self.assertEqual([NAME, "agent-2"], names)
