--- a/azurewick/gateway/agent_client.py
+++ b/azurewick/gateway/agent_client.py
@@ -31,6 +31,8 @@
 # Below the time for which an agent keeps an idle connection open, so that
 # the gateway closes first and no offer meets a closed connection.
 KEEPALIVE_S = 15.0
+# aiohttp pauses the agent's connection at twice this size.
+READ_BUFFER_BYTES = 65_536
 MAX_LOAD_BYTES = 2048
 
 _OFFER_FIELDS = tuple(
@@ -64,6 +66,7 @@
             connector=TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
             cookie_jar=DummyCookieJar(),
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             timeout=self._timeout,
         )
 
--- a/azurewick/gateway/execution.py
+++ b/azurewick/gateway/execution.py
@@ -52,6 +52,7 @@
                 return running
         running = RunningRequest(context)
         self.requests.add(running)
+        self._components.metrics.set_running(len(self.requests))
         running.task = create_task(self._async_execute(running))
         # A task cancelled before its first step doesn't reach its handlers.
         running.task.add_done_callback(lambda _: self._end(running))
@@ -72,6 +73,7 @@
         if not running.has_ended:
             running.fail(_lost("request was cancelled"))
         self.requests.remove(running)
+        self._components.metrics.set_running(len(self.requests))
 
     async def _async_execute(self, running: RunningRequest) -> None:
         try:
--- a/azurewick/gateway/filters/limits.py
+++ b/azurewick/gateway/filters/limits.py
@@ -17,9 +17,10 @@
 from azurewick.errors import Step
 from azurewick.gateway.context import RequestContext
 
-# A path travels in the offer header, whose line the agent's parser limits
-# to 8,190 bytes.
+# Path and content type travel in the offer header, whose line the agent's
+# parser limits to 8,190 bytes.
 MAX_PATH_BYTES = 2048
+MAX_CONTENT_TYPE_BYTES = 256
 MAX_IDEMPOTENCY_KEY_BYTES = 255
 # 1 MiB in 30 s needs 35 KB/s, which slow mobile links reach.
 BODY_TIMEOUT_S = 30.0
@@ -49,6 +50,11 @@
                 ErrorCode.INVALID_REQUEST,
                 f"path exceeds {MAX_PATH_BYTES} bytes",
             )
+        if len(context.content_type) > MAX_CONTENT_TYPE_BYTES:
+            raise refuse(
+                ErrorCode.INVALID_REQUEST,
+                f"Content-Type exceeds {MAX_CONTENT_TYPE_BYTES} bytes",
+            )
         # Decoding would allow a small body to become a large one.
         encoding = context.headers.get("Content-Encoding", "identity")
         if encoding != "identity":
--- a/azurewick/gateway/metrics.py
+++ b/azurewick/gateway/metrics.py
@@ -78,6 +78,10 @@
         if self._service is not None:
             await self._service.stop()
 
+    def set_running(self, count: int) -> None:
+        """Set the number of running requests."""
+        self.running.set({}, count)
+
     def count_request(
         self, request_class: str, outcome: str, code: str
     ) -> None:
--- a/azurewick/gateway/responder.py
+++ b/azurewick/gateway/responder.py
@@ -9,6 +9,7 @@
 from math import ceil
 from random import Random
 from typing import Final
+from typing import NoReturn
 
 from aiohttp.web import BaseRequest
 from aiohttp.web import json_response
@@ -20,7 +21,9 @@
 from azurewick.const import HEADER_RETRY_AFTER
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
 from azurewick.errors import SHED_CODES
+from azurewick.errors import Step
 from azurewick.gateway.running import RunningRequest
 from azurewick.gateway.streaming import AnswerReader
 from azurewick.gateway.streaming import ReaderTooSlowError
@@ -41,6 +44,18 @@
 }
 
 
+class BrokenAnswerError(Exception):
+    """An answer that has started can't be ended.
+
+    delay_s is the time for the written part to leave before the abort.
+    """
+
+    def __init__(self, error: AzurewickError, delay_s: float) -> None:
+        super().__init__(str(error))
+        self.error = error
+        self.delay_s = delay_s
+
+
 class Responder:
     """Writes answers to callers."""
 
@@ -78,8 +93,8 @@
     ) -> StreamResponse:
         """Write the answer of a run to one caller.
 
-        Raises AzurewickError before the first byte, and CancelledError
-        after the connection was aborted.
+        Raises AzurewickError before the first byte, and BrokenAnswerError
+        after it.
         """
         reader = running.open_reader()
         try:
@@ -87,6 +102,7 @@
             response = StreamResponse(
                 status=head.status,
                 headers={
+                    **dict(head.headers),
                     "Content-Type": head.content_type,
                     HEADER_REQUEST_ID: request_id,
                 },
@@ -101,9 +117,9 @@
             except AzurewickError as err:
                 if head.is_event_stream:
                     await self._async_write_event(response, err)
-                abort(request)
-            except (ReaderTooSlowError, TimeoutError):
-                abort(request, 0.0)
+                raise BrokenAnswerError(err, ABORT_DELAY_S) from err
+            except (ReaderTooSlowError, TimeoutError) as err:
+                raise BrokenAnswerError(_too_slow(), 0.0) from err
             return response
         finally:
             reader.close()
@@ -127,7 +143,16 @@
             return
 
 
-def abort(request: BaseRequest, delay_s: float = ABORT_DELAY_S) -> None:
+def _too_slow() -> AzurewickError:
+    return AzurewickError(
+        ErrorCode.STREAM_BROKEN,
+        "caller reads too slowly",
+        step=Step.STREAM,
+        outcome=Outcome.RAN,
+    )
+
+
+def abort(request: BaseRequest, delay_s: float) -> NoReturn:
     """End a connection so that the caller sees a broken answer.
 
     Raises CancelledError: it makes aiohttp close the connection without the
--- a/azurewick/gateway/running.py
+++ b/azurewick/gateway/running.py
@@ -7,6 +7,7 @@
 from asyncio import get_running_loop
 from asyncio import shield
 from asyncio import Task
+from collections.abc import Iterator
 
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -87,6 +88,9 @@
     def __len__(self) -> int:
         return len(self._requests)
 
+    def __iter__(self) -> Iterator[RunningRequest]:
+        return iter(tuple(self._requests))
+
     def add(self, running: RunningRequest) -> None:
         """Add a request that starts."""
         self._requests.add(running)
--- a/azurewick/gateway/server.py
+++ b/azurewick/gateway/server.py
@@ -37,6 +37,8 @@
 from azurewick.gateway.filters.limits import BodyFilter
 from azurewick.gateway.filters.limits import HeaderLimitFilter
 from azurewick.gateway.metrics import CODE_OK
+from azurewick.gateway.responder import abort
+from azurewick.gateway.responder import BrokenAnswerError
 from azurewick.gateway.responder import Responder
 from azurewick.gateway.status import build_status
 from azurewick.gateway.wiring import GatewayComponents
@@ -46,6 +48,9 @@
 # Idle callers' connections stay open for as long as load balancers keep
 # theirs.
 KEEPALIVE_S = 75.0
+# Time to read the rest of a refused body: a caller that still writes
+# might otherwise lose the error to a reset.
+LINGERING_S = 5.0
 # Errors that are the caller's own don't count for the service level.
 CALLER_STATUS = range(400, 500)
 
@@ -85,6 +90,7 @@
             keepalive_timeout=KEEPALIVE_S,
             access_log=None,
             auto_decompress=False,
+            lingering_time=LINGERING_S,
             max_headers=MAX_HEADER_FIELDS,
         )
         self.header_timeout_s = header_timeout_s
@@ -185,6 +191,9 @@
                 # The rest of a refused body is not worth reading.
                 response.force_close()
             return response
+        except BrokenAnswerError as err:
+            self._count_error(context, err.error)
+            abort(request, err.delay_s)
         except CancelledError:
             self._components.metrics.count_request(
                 context.class_label, Outcome.UNKNOWN, ErrorCode.CANCELLED
--- a/azurewick/gateway/streaming.py
+++ b/azurewick/gateway/streaming.py
@@ -31,6 +31,7 @@
     status: int
     content_type: str
     content_length: int | None = None
+    headers: tuple[tuple[str, str], ...] = ()
     replayed: bool = False
 
     @property
