--- /dev/null
+++ b/azurewick/admission/dispatch_window.py
@@ -0,0 +1,26 @@
+"""Whether an agent may hand its engine one more request."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# An engine admits in order of arrival. With one prefill running and one
+# waiting it never idles, and all further requests stay in the tier queue,
+# where a higher tier still overtakes them.
+MAX_PREFILLS: Final = 2
+
+
+class DispatchWindow:
+    """Limit on requests in the engine, and on those before first token."""
+
+    def __init__(self, max_prefills: int = MAX_PREFILLS) -> None:
+        self._max_prefills = max_prefills
+
+    def is_open(self, running: int, prefilling: int, limit: int) -> bool:
+        """Return whether a request may be dispatched.
+
+        running counts the dispatched requests that have not finished,
+        prefilling those of them that have no first token yet, and limit is
+        the batch limit.
+        """
+        return running < limit and prefilling < self._max_prefills
--- a/azurewick/models.py
+++ b/azurewick/models.py
@@ -136,3 +136,5 @@
     claim_key: str = ""
     incarnation: str = ""
     prefix_hashes: tuple[str, ...] = field(default=())
+    # Prompt tokens that the gateway expects in the chosen server's cache.
+    expected_cached_tokens: int = 0
--- a/azurewick/routing/affinity.py
+++ b/azurewick/routing/affinity.py
@@ -4,7 +4,6 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Final
 
@@ -15,6 +14,9 @@
 # of a long conversation share.
 RENDEZVOUS_DEPTH: Final = 6
 MAX_LOCATIONS: Final = 10_000
+# Prefixes that all requests of a class share are on every server.
+MAX_SERVERS: Final = 64
+MAX_CANDIDATES: Final = 2
 
 
 def prefix_lengths(length_bytes: int) -> list[int]:
@@ -56,14 +58,6 @@
     )
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CachedPrefix:
-    """Server that may hold a prefix, and the tokens it may hold."""
-
-    name: str
-    tokens: int
-
-
 class PrefixAffinity:
     """Remember where prefixes were sent, and fall back to rendezvous.
 
@@ -73,38 +67,56 @@
 
     def __init__(self, max_locations: int = MAX_LOCATIONS) -> None:
         self._max_locations = max_locations
-        self._locations: OrderedDict[str, str] = OrderedDict()
+        # Servers of each prefix, the latest last.
+        self._locations: OrderedDict[str, dict[str, None]] = OrderedDict()
+
+    def cached_tokens(self, hashes: tuple[str, ...], name: str) -> int:
+        """Return the tokens of the longest prefix that was sent to a server.
+
+        The server's cache may have dropped it since.
+        """
+        for depth in range(len(hashes) - 1, -1, -1):
+            if name in self._locations.get(hashes[depth], ()):
+                return prefix_tokens(depth)
+        return 0
 
     def candidates(
         self, hashes: tuple[str, ...], names: Iterable[str]
-    ) -> list[CachedPrefix]:
-        """Return the servers that may hold a prefix, the deepest first."""
+    ) -> list[str]:
+        """Return the servers that most probably hold a prefix.
+
+        They are the latest servers of the longest known prefix, and the
+        one that all gateways name.
+        """
         if not hashes:
             return []
-        allowed = names if isinstance(names, set) else set(names)
-        found = []
-        for depth in range(len(hashes) - 1, -1, -1):
-            name = self._locations.get(hashes[depth])
-            if name in allowed and name is not None:
-                found.append(
-                    CachedPrefix(name=name, tokens=prefix_tokens(depth))
-                )
+        allowed = set(names)
+        found: list[str] = []
+        for value in reversed(hashes):
+            known = self._locations.get(value, {})
+            found = [name for name in reversed(known) if name in allowed]
+            if found:
                 break
+        del found[MAX_CANDIDATES:]
         depth = min(RENDEZVOUS_DEPTH, len(hashes) - 1)
         name = rendezvous_choice(hashes[depth], sorted(allowed))
-        if name is not None and all(item.name != name for item in found):
-            found.append(CachedPrefix(name=name, tokens=prefix_tokens(depth)))
+        if name is not None and name not in found:
+            found.append(name)
         return found
 
     def record(self, hashes: tuple[str, ...], name: str) -> None:
         """Record that a prompt with these prefixes was sent to a server."""
         for value in hashes:
-            self._locations[value] = name
+            names = self._locations.setdefault(value, {})
+            names.pop(name, None)
+            names[name] = None
+            if len(names) > MAX_SERVERS:
+                del names[next(iter(names))]
             self._locations.move_to_end(value)
         while len(self._locations) > self._max_locations:
             self._locations.popitem(last=False)
 
     def forget_server(self, name: str) -> None:
         """Forget the prefixes of a server that lost its cache."""
-        for value in [k for k, v in self._locations.items() if v == name]:
-            del self._locations[value]
+        for names in self._locations.values():
+            names.pop(name, None)
--- a/azurewick/routing/cost.py
+++ b/azurewick/routing/cost.py
@@ -224,7 +224,7 @@
     estimate: ServerEstimate,
     offer: Offer,
     *,
-    cached_tokens: float,
+    cached_tokens: int,
     mean_wait_s: float,
     mean_occupancy: float,
     now_s: float,
--- a/azurewick/routing/selector.py
+++ b/azurewick/routing/selector.py
@@ -22,6 +22,8 @@
 # Servers compared for each request; more make gateways with the same view
 # choose the same server.
 SUBSET_SIZE: Final = 4
+# A prompt's prefill delays the request itself and those after it.
+PREFILL_WEIGHT: Final = 2.0
 # Part of the decode time that counts: it keeps a server's time occupied,
 # but later requests wait for it only in part.
 DECODE_WEIGHT: Final = 0.3
@@ -104,31 +106,37 @@
         healthy = [name for name in names if name not in suspects] or names
         return self._choose_least_cost(offer, healthy, now_s)
 
+    def expected_cached_tokens(self, offer: Offer, name: str) -> int:
+        """Return the prompt tokens that a server's cache probably holds."""
+        tokens = self._affinity.cached_tokens(offer.prefix_hashes, name)
+        return int(min(tokens, offer.prompt_tokens) * self._hit_rate)
+
     def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
         """Record that an offer was sent to a server."""
         estimate = self._estimates.get(name)
         if estimate is None:
             return
         wait_s, occupancy, _ = pool_means(self._estimates.values())
+        cached_tokens = self.expected_cached_tokens(offer, name)
         cost = estimate_cost(
             estimate,
             offer,
-            cached_tokens=0,
+            cached_tokens=cached_tokens,
             mean_wait_s=wait_s,
             mean_occupancy=occupancy,
             now_s=now_s,
         )
         estimate.sent[offer.request_id] = SentOffer(
             sent_s=now_s,
-            service_s=estimate.service_s(offer),
+            service_s=estimate.service_s(offer, cached_tokens),
             prefill_s=cost.prefill_s,
             start_s=cost.first_token_s,
         )
-        for item in self._affinity.candidates(offer.prefix_hashes, {name}):
+        known_tokens = self._affinity.cached_tokens(offer.prefix_hashes, name)
+        if known_tokens:
             self._expected_hits[offer.request_id] = min(
-                item.tokens, offer.prompt_tokens
+                known_tokens, offer.prompt_tokens
             )
-            break
         self._affinity.record(offer.prefix_hashes, name)
 
     def record_result(
@@ -192,25 +200,21 @@
     ) -> str:
         wait_s, occupancy, _ = pool_means(self._estimates.values())
         subset = self._random.sample(names, min(SUBSET_SIZE, len(names)))
-        cached = {
-            item.name: min(item.tokens, offer.prompt_tokens) * self._hit_rate
-            for item in self._affinity.candidates(
-                offer.prefix_hashes, set(names)
-            )
-        }
-        candidates = list(dict.fromkeys([*subset, *cached]))
+        holders = self._affinity.candidates(offer.prefix_hashes, names)
+        candidates = list(dict.fromkeys([*subset, *holders]))
 
         def cost_s(name: str) -> float:
             cost = estimate_cost(
                 self._estimates[name],
                 offer,
-                cached_tokens=cached.get(name, 0.0),
+                cached_tokens=self.expected_cached_tokens(offer, name),
                 mean_wait_s=wait_s,
                 mean_occupancy=occupancy,
                 now_s=now_s,
             )
             return (
-                cost.first_token_s
+                cost.wait_s
+                + PREFILL_WEIGHT * cost.prefill_s
                 + DECODE_WEIGHT * cost.decode_s
                 + cost.doubt_s
                 + self._distance_s(name, offer)
--- /dev/null
+++ b/bench/model/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual-time model of engines that drives the real decisions."""
--- /dev/null
+++ b/bench/model/trace.py
@@ -0,0 +1,63 @@
+"""Trace of a run, and the check of the tier rule that reads only it."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+RULE_WINDOW_S = 1.0
+
+
+class TraceKind(StrEnum):
+    """Kind of an event."""
+
+    QUEUED = "queued"
+    DISPATCHED = "dispatched"
+    SHED = "shed"
+
+
+@dataclass(frozen=True, slots=True)
+class TraceEvent:
+    """Event of a request in a pool."""
+
+    time_s: float
+    kind: TraceKind
+    request_id: str
+    tier: int
+    pool: str
+
+
+def find_tier_violations(
+    events: Iterable[TraceEvent],
+) -> list[tuple[TraceEvent, TraceEvent]]:
+    """Return pairs of a shed request and a lower one dispatched against it.
+
+    The lower request was dispatched in the second after, or was queued at
+    the time of shedding and dispatched later.
+    """
+    sheds: dict[tuple[str, int], list[TraceEvent]] = {}
+    queued: dict[tuple[str, str], list[float]] = {}
+    dispatches = []
+    for event in sorted(events, key=lambda event: event.time_s):
+        key = (event.pool, event.request_id)
+        if event.kind is TraceKind.SHED:
+            sheds.setdefault((event.pool, event.tier), []).append(event)
+        elif event.kind is TraceKind.QUEUED:
+            queued.setdefault(key, []).append(event.time_s)
+        elif event.kind is TraceKind.DISPATCHED:
+            dispatches.append(event)
+    violations = []
+    for dispatch in dispatches:
+        waits = queued.get((dispatch.pool, dispatch.request_id), [])
+        first_s = min([dispatch.time_s - RULE_WINDOW_S, *waits])
+        for (pool, tier), shed in sheds.items():
+            if pool != dispatch.pool or tier >= dispatch.tier:
+                continue
+            # The first shed that the request's waiting or window covers.
+            times = [event.time_s for event in shed]
+            index = bisect.bisect_left(times, first_s)
+            if index < len(shed) and times[index] < dispatch.time_s:
+                violations.append((shed[index], dispatch))
+    return violations
