Wire the agent to the relays and serve requests end to end

Cause: the demonstration registered instances in a nested form, so that no gateway knew a backend server; the agent ran with stub admission.

--- a/azurewick/agent/application.py
+++ b/azurewick/agent/application.py
@@ -22,16 +22,20 @@
 from grpclib.server import Server
 import uvloop
 
+from azurewick.admission.batch_limit import BatchLimit
+from azurewick.admission.floor import AdmissionFloor
+from azurewick.admission.tier_queue import TierQueue
 from azurewick.agent.agent import Agent
+from azurewick.agent.cluster_link import ClusterLink
+from azurewick.agent.cluster_link import CrashReporter
 from azurewick.agent.control_api import ControlApi
 from azurewick.agent.orders import FencingGate
-from azurewick.agent.orders import OrderAuthenticator
-from azurewick.agent.orders import RefusingAuthenticator
-from azurewick.agent.simple_admission import FixedLimit
-from azurewick.agent.simple_admission import SimpleFloor
-from azurewick.agent.simple_admission import SimpleTierQueue
+from azurewick.agent.orders import KeyedAuthenticator
 from azurewick.const import MAX_HEADER_BYTES
 from azurewick.const import PROBE_INTERVAL_S
+from azurewick.helpers.clock import monotonic_s
+from azurewick.membership.coordinator import ClusterState
+from azurewick.platform.client import ObjectApiClient
 from azurewick.platform.protocols import ObjectStore
 from azurewick.settings.models import AgentSettings
 
@@ -130,28 +134,29 @@
 class TickService(PeriodicService):
     """Lets time act on the queue and the floor."""
 
-    __required__ = ("agent",)
+    __required__ = ("agent", "link")
     agent: Agent
+    link: ClusterLink
 
     async def callback(self) -> Any:
         """Run one tick."""
         self.agent.tick()
+        self.link.share_load()
 
 
 def build_services(
     agent: Agent,
+    link: ClusterLink,
+    store: ObjectStore,
     data_socket: socket,
     control_socket: socket,
-    *,
-    store: ObjectStore | None = None,
-    authenticator: OrderAuthenticator | None = None,
 ) -> list[Service]:
     """Return the services that make up a running agent."""
     api = ControlApi(
         agent.settings.pool,
         agent.dispatcher,
         FencingGate(store),
-        authenticator or RefusingAuthenticator(),
+        KeyedAuthenticator(agent.settings.order_keys),
         agent.report,
         agent.async_obey,
     )
@@ -167,7 +172,8 @@
         ),
         ControlService(api=api, sock=control_socket),
         ProbeService(agent=agent, interval=PROBE_INTERVAL_S),
-        TickService(agent=agent, interval=TICK_INTERVAL_S),
+        link,
+        TickService(agent=agent, link=link, interval=TICK_INTERVAL_S),
     ]
     if agent.settings.metrics_address is not None:
         services.append(
@@ -219,13 +225,25 @@
     """
     data_socket = bind_address(settings.address)
     control_socket = bind_address(settings.control_address)
+    store = ObjectApiClient(
+        settings.store.url,
+        calls_per_s=settings.store.calls_per_s,
+        burst_calls=settings.store.burst_calls,
+        request_timeout_s=settings.store.request_timeout_s,
+        clock=monotonic_s,
+    )
+    cluster = ClusterState(settings, store, monotonic_s)
     agent = Agent(
         settings,
-        queue=SimpleTierQueue(settings.max_queue),
-        floor=SimpleFloor(),
-        limit=FixedLimit(settings.initial_batch),
+        queue=TierQueue(settings.max_queue),
+        floor=AdmissionFloor(),
+        limit=BatchLimit(
+            initial=settings.initial_batch, maximum=settings.max_batch
+        ),
+        crashes=CrashReporter(cluster),
     )
-    services = build_services(agent, data_socket, control_socket)
+    link = ClusterLink(agent=agent, cluster=cluster, store=store)
+    services = build_services(agent, link, store, data_socket, control_socket)
     with entrypoint(
         *services,
         log_config=False,
--- a/azurewick/agent/dispatcher.py
+++ b/azurewick/agent/dispatcher.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from azurewick.admission.models import QueuedRequest
 from azurewick.agent.interfaces import ConcurrencyLimit
 from azurewick.agent.interfaces import Floor
-from azurewick.agent.interfaces import QueuedRequest
 from azurewick.agent.interfaces import RequestQueue
 from azurewick.agent.ledger import DispatchLedger
 from azurewick.agent.ledger import LedgerState
@@ -85,8 +85,7 @@
     @property
     def queued_work_s(self) -> float:
         """Return the time the queue needs at the learned rates."""
-        work_s = sum(waiter.item.work_s for waiter in self._waiters.values())
-        return work_s / max(1, self.limit.limit)
+        return sum(waiter.item.cost_s for waiter in self._waiters.values())
 
     @property
     def is_ready(self) -> bool:
@@ -217,13 +216,20 @@
         deadline_s = None
         if offer.budget_s is not None:
             deadline_s = now_s + offer.budget_s
+        work_s = self.rates.expected_work_s(
+            offer.prompt_tokens, offer.expected_output_tokens
+        )
+        target_s = work_s
+        if not offer.is_completion_budget:
+            target_s = self.rates.expected_prefill_s(offer.prompt_tokens)
         item = QueuedRequest(
             request_id=offer.request_id,
+            customer=offer.customer,
+            request_class=offer.request_class,
             tier=offer.tier,
             deadline_s=deadline_s,
-            work_s=self.rates.expected_work_s(
-                offer.prompt_tokens, offer.expected_output_tokens
-            ),
+            target_s=target_s,
+            cost_s=work_s / max(1, self.limit.limit),
         )
         decision = self.queue.offer(item, now_s)
         if not decision.accepted:
--- a/azurewick/agent/http_api.py
+++ b/azurewick/agent/http_api.py
@@ -288,7 +288,7 @@
             dispatcher.limit.record_step(
                 dispatcher.running,
                 (now_s - first_s) / (usage.output_tokens - 1),
-                None,
+                slot.offer.inter_token_s,
                 now_s,
             )
 
--- a/azurewick/agent/interfaces.py
+++ b/azurewick/agent/interfaces.py
@@ -3,22 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from dataclasses import dataclass
 from typing import Protocol
 
+from azurewick.admission.models import QueuedRequest
 from azurewick.errors import ErrorCode
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class QueuedRequest:
-    """Request that waits in an agent; deadline_s is monotonic time."""
-
-    request_id: str
-    tier: int
-    deadline_s: float | None = None
-    work_s: float = 0.0
-
-
 class QueueDecision(Protocol):
     """Answer of a queue to a new request."""
 
--- a/azurewick/agent/offer.py
+++ b/azurewick/agent/offer.py
@@ -51,6 +51,8 @@
     budget_s: float | None = Field(
         default=None, ge=-1e6, le=1e6, allow_inf_nan=False
     )
+    is_completion_budget: bool = False
+    inter_token_s: float | None = Field(default=None, gt=0, le=1e6)
     prompt_tokens: Tokens = 0
     expected_output_tokens: Tokens = 0
     repeatable: bool = True
--- a/azurewick/agent/orders.py
+++ b/azurewick/agent/orders.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from dataclasses import asdict
 from dataclasses import dataclass
 from typing import Protocol
 
+from azurewick.control.authentication import (
+    OrderAuthenticator as OrderSignatures,
+)
+from azurewick.control.control_pb2 import OrderRequest
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
 from azurewick.platform.protocols import ObjectStore
+from azurewick.settings.models import OrderKey
 
 PLURAL_LEASES = "leases"
 ATTR_FENCING_NUMBER = "fencing_number"
@@ -35,16 +42,15 @@
         """Raise AzurewickError unauthenticated for an order not signed."""
 
 
-class RefusingAuthenticator:
-    """Authenticator of an agent without order keys: refuses every order."""
+class KeyedAuthenticator:
+    """Checks signatures with the agent's order keys; no key refuses all."""
+
+    def __init__(self, keys: Sequence[OrderKey]) -> None:
+        self._signatures = OrderSignatures(keys)
 
     def verify(self, order: AgentOrder, now_s: float) -> None:
-        """Raise AzurewickError unauthenticated."""
-        raise AzurewickError(
-            ErrorCode.UNAUTHENTICATED,
-            "the agent has no key to check orders with",
-            step=Step.ORDER,
-        )
+        """Raise AzurewickError unauthenticated for an order not signed."""
+        self._signatures.verify(OrderRequest(**asdict(order)), now_s)
 
 
 class FencingGate:
--- a/azurewick/agent/rates.py
+++ b/azurewick/agent/rates.py
@@ -98,11 +98,15 @@
                 self.decode_tokens_per_s, (usage.output_tokens - 1) / decode_s
             )
 
+    def expected_prefill_s(self, prompt_tokens: int) -> float:
+        """Return the time until the first token; 0 for an unknown rate."""
+        if self.prefill_tokens_per_s <= 0:
+            return 0.0
+        return prompt_tokens / self.prefill_tokens_per_s
+
     def expected_work_s(self, prompt_tokens: int, output_tokens: int) -> float:
         """Return the time one request takes; 0 for rates not yet known."""
-        work_s = 0.0
-        if self.prefill_tokens_per_s > 0:
-            work_s += prompt_tokens / self.prefill_tokens_per_s
+        work_s = self.expected_prefill_s(prompt_tokens)
         if self.decode_tokens_per_s > 0:
             work_s += output_tokens / self.decode_tokens_per_s
         return work_s
--- a/azurewick/agent/simple_admission.py
+++ b/azurewick/agent/simple_admission.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from azurewick.agent.interfaces import QueuedRequest
+from azurewick.admission.models import QueuedRequest
 from azurewick.const import HIGHEST_TIER
 from azurewick.const import LOWEST_TIER
 from azurewick.const import PERMIT_DURATION_S
--- a/azurewick/gateway/composition.py
+++ b/azurewick/gateway/composition.py
@@ -59,9 +59,24 @@
         ),
         create_retry_budget=RetryBudget,
         hash_prefix=prefix_hashes,
+        services=(StoreConnection(store),),
     )
 
 
+class StoreConnection:
+    """Service that closes the connections to the store at the end."""
+
+    def __init__(self, store: ObjectApiClient) -> None:
+        self._store = store
+
+    async def async_start(self) -> None:
+        """Do nothing: the client connects on its first call."""
+
+    async def async_stop(self) -> None:
+        """Close the connections."""
+        await self._store.async_close()
+
+
 def build_floor_round(agents: Sequence[str], now_s: float) -> FloorRound:
     """Return a round that confirms a floor at these agents."""
     return FloorRound(agents, floor_tier=HIGHEST_TIER, started_s=now_s)
--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -136,6 +136,8 @@
                 if deadline_s is None
                 else max(0.0, deadline_s - monotonic_s())
             ),
+            is_completion_budget=request_class.target.first_token_s is None,
+            inter_token_s=request_class.target.inter_token_s,
             prompt_tokens=len(context.body) // BYTES_PER_TOKEN,
             expected_output_tokens=self._components.predictor.predict(
                 context.customer.name, request_class.name
--- a/azurewick/models.py
+++ b/azurewick/models.py
@@ -117,7 +117,9 @@
     """Metadata of a request that a gateway offers to an agent.
 
     budget_s is the time left, at sending, until the class target is missed;
-    None leaves the request without a deadline. incarnation is that of the
+    None leaves the request without a deadline. The target is that of the
+    first token, or of the whole answer if is_completion_budget is set;
+    inter_token_s is the target between tokens. incarnation is that of the
     agent which the offer is meant for, empty when not yet known.
     """
 
@@ -129,6 +131,8 @@
     path: str
     content_type: str = "application/json"
     budget_s: float | None = None
+    is_completion_budget: bool = False
+    inter_token_s: float | None = None
     prompt_tokens: int = 0
     expected_output_tokens: int = 0
     repeatable: bool = True
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -244,7 +244,7 @@
 
     async def _async_register(self, name: str, spec: dict[str, Any]) -> None:
         async with self.session.put(
-            f"{self.store_url}/admin/instances/{name}", json={"spec": spec}
+            f"{self.store_url}/admin/instances/{name}", json=spec
         ) as response:
             response.raise_for_status()
 
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 import os
 from pathlib import Path
+from random import sample
 import signal
 import socket
 from subprocess import DEVNULL
@@ -22,6 +23,10 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.1
+FIRST_PORT = 12_000
+LAST_PORT = 30_000
+
+_PORTS = sample(range(FIRST_PORT, LAST_PORT), k=2000)
 
 
 @dataclass(kw_only=True)
@@ -118,12 +123,18 @@
 
 
 def reserve_ports(count: int) -> list[int]:
-    """Return free TCP ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind((LOOPBACK, 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Return free TCP ports of the loopback address, each at most once.
+
+    They lie below the range from which the kernel takes the ports of
+    outgoing connections, so that none is taken before its process starts.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _PORTS.pop()
+        with socket.socket() as item:
+            try:
+                item.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
