--- a/azurewick/rollout/assessment.py
+++ b/azurewick/rollout/assessment.py
@@ -19,10 +19,7 @@
 from azurewick.rollout.counts import Counts
 from azurewick.rollout.counts import EvidenceKey
 from azurewick.rollout.counts import EvidenceRow
-from azurewick.rollout.sequential_test import ACCEPTANCE_BOUND
 from azurewick.rollout.sequential_test import Alternative
-from azurewick.rollout.sequential_test import REJECTION_BOUND
-from azurewick.rollout.sequential_test import REST_REJECTION_BOUND
 from azurewick.rollout.sequential_test import SequentialTest
 
 # Three crashes are what one poison request may cause at most.
@@ -115,59 +112,30 @@
 
 
 class _Stream:
-    """Tests of one measure on one route, with and without each server."""
+    """Test of one measure on one route."""
 
     def __init__(self, measure: Measure, route: str) -> None:
         self.measure = measure
-        self._is_route = route != ALL_ROUTES
-        self._total = SequentialTest()
-        self._without: dict[str, SequentialTest] = {}
+        self.test = SequentialTest()
+        self._route_alternative = None
+        if route != ALL_ROUTES:
+            self._route_alternative = ROUTE_ACCEPTANCE_ALTERNATIVES.get(
+                measure
+            )
 
-    def update(
-        self, server: str, servers: Iterable[str], counts: Counts, rate: float
-    ) -> None:
+    def update(self, server: str, counts: Counts, rate: float) -> None:
         """Add outcomes of one server at the old version's rate."""
         hits = int(getattr(counts, self.measure.value))
-        rates = ALTERNATIVES[self.measure].rates(rate)
-        tests = [self._total]
-        for name in servers:
-            if name not in self._without:
-                self._without[name] = self._total.copy()
-            if name != server:
-                tests.append(self._without[name])
         acceptance_rates = None
-        alternative = ROUTE_ACCEPTANCE_ALTERNATIVES.get(self.measure)
-        if self._is_route and alternative is not None:
-            acceptance_rates = alternative.rates(rate)
-        for test in tests:
-            test.update(counts.requests, hits, rates, acceptance_rates)
-
-    def is_rejected(self, is_single: bool) -> bool:
-        """Return whether the fault shows, on more than one server."""
-        if self._total.rejection < REJECTION_BOUND:
-            return False
-        if is_single:
-            return True
-        return len(self._without) >= MIN_SERVERS and all(
-            test.rejection >= REST_REJECTION_BOUND
-            for test in self._without.values()
+        if self._route_alternative is not None:
+            acceptance_rates = self._route_alternative.rates(rate)
+        self.test.update(
+            server,
+            (counts.requests, hits),
+            ALTERNATIVES[self.measure].rates(rate),
+            acceptance_rates,
         )
 
-    def is_accepted(self) -> bool:
-        """Return whether the fault is ruled out but for one server."""
-        if self._total.acceptance <= ACCEPTANCE_BOUND:
-            return True
-        return len(self._without) >= MIN_SERVERS and any(
-            test.acceptance <= ACCEPTANCE_BOUND
-            for test in self._without.values()
-        )
-
-    def restart_acceptance(self) -> None:
-        """Begin new tests for acceptance."""
-        self._total.acceptance = 0.0
-        for test in self._without.values():
-            test.acceptance = 0.0
-
 
 class MoveAssessor:
     """Assesses a version of a class from rows of cumulative counts.
@@ -196,6 +164,14 @@
         """Return the counted requests of the class on all versions."""
         return self._new.requests + self._old[ALL_ROUTES].total.requests
 
+    @property
+    def has_failing_server(self) -> bool:
+        """Return whether a fault shows on one server and on no other."""
+        return any(
+            stream.test.is_rejected(is_single=True)
+            for stream in self._streams.get(ALL_ROUTES, ())
+        )
+
     def update(self, rows: Iterable[EvidenceRow], now_s: float) -> None:
         """Add the growth of the rows."""
         changes: list[tuple[EvidenceKey, Counts]] = []
@@ -249,7 +225,7 @@
         self._mark = self._new
         for streams in self._streams.values():
             for stream in streams:
-                stream.restart_acceptance()
+                stream.test.restart_acceptance()
 
     def _is_older(self, change: Counts) -> bool:
         # Only a crash that turns out to repeat a request takes counts back.
@@ -274,7 +250,7 @@
                 self._streams[route] = streams
             for stream in streams:
                 rate = self._old_rate(route, stream.measure)
-                stream.update(key.backend_server, self._servers, change, rate)
+                stream.update(key.backend_server, change, rate)
 
     def _old_rate(self, route: str, measure: Measure) -> float:
         pooled = self._old[ALL_ROUTES].recent()
@@ -292,7 +268,7 @@
         is_single = servers == 1 and len(self._servers) <= 1
         for route, streams in self._streams.items():
             for stream in streams:
-                if not stream.is_rejected(is_single):
+                if not stream.test.is_rejected(is_single=is_single):
                     continue
                 if stream.measure is Measure.BROKEN and not (
                     self._has_crashed(is_single)
@@ -330,7 +306,7 @@
     def _is_stream_accepted(self, route: str) -> bool:
         streams = self._streams.get(route)
         return streams is not None and all(
-            stream.is_accepted()
+            stream.test.is_accepted()
             for stream in streams
             if stream.measure is not Measure.BROKEN
         )
--- a/azurewick/rollout/coordinator.py
+++ b/azurewick/rollout/coordinator.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
 from azurewick.platform.protocols import ObjectStore
 from azurewick.platform.protocols import StoredObject
 from azurewick.rollout.counts import EvidenceRow
@@ -84,7 +85,7 @@
         try:
             listed = await self._store.async_list(PLURAL_VERSION_MOVES)
             for item in listed.items:
-                await self._async_advance(item, number, now_s)
+                await self._async_try_advance(item, number, now_s)
         except AzurewickError as err:
             self._record_store_error(err)
             return
@@ -92,6 +93,16 @@
             _LOGGER.info("version moves continue: the store answers again")
         self._is_store_down = False
 
+    async def _async_try_advance(
+        self, item: StoredObject, number: int, now_s: float
+    ) -> None:
+        """Advance a move; after a conflict the next step reads it again."""
+        try:
+            await self._async_advance(item, number, now_s)
+        except AzurewickError as err:
+            if err.code is not ErrorCode.STORE_CONFLICT:
+                raise
+
     async def _async_advance(
         self, item: StoredObject, number: int, now_s: float
     ) -> None:
--- a/azurewick/rollout/planner.py
+++ b/azurewick/rollout/planner.py
@@ -27,6 +27,9 @@
 from azurewick.rollout.sequential_test import Alternative
 
 RAMP_SHARES = (0.10, 0.25, 0.50, 1.0)
+# The first step loads two servers of the version like the old ones, so that
+# a version which is bad under load shows it early, but is never larger.
+MAX_FIRST_RAMP_SHARE = 0.4
 # Requests at the least share before the test share: a version that fails
 # most requests shows it within these.
 START_REQUESTS = 30
@@ -59,6 +62,20 @@
     old_version: str = ""
 
 
+def ramp_shares(fleet: FleetSize) -> tuple[float, ...]:
+    """Return the shares of the ramp for a fleet."""
+    first = MIN_SERVERS / max(1, fleet.old_servers)
+    first = min(max(first, RAMP_SHARES[0]), MAX_FIRST_RAMP_SHARE)
+    # Rounding must not keep a share of exactly twice the first one out.
+    later = (s for s in RAMP_SHARES if s >= 2 * first - 1e-9)
+    return (first, *later)
+
+
+def _servers_in_use(share: float, fleet: FleetSize) -> int:
+    # The share of a whole number of servers may be a little above it.
+    return max(MIN_SERVERS, ceil(share * fleet.old_servers - 1e-9))
+
+
 class MovePlanner:
     """Advances one move from the evidence and from the time left.
 
@@ -129,11 +146,10 @@
         self, move: VersionMove, fleet: FleetSize, now_s: float
     ) -> float:
         """Return the time that the rest of the move needs at least."""
+        shares = ramp_shares(fleet)
         if move.phase is MovePhase.RAMP:
-            steps = [s for s in RAMP_SHARES if s >= move.share]
-        else:
-            steps = list(RAMP_SHARES)
-        needed_s = sum(self._step_s(share, now_s) for share in steps)
+            shares = tuple(s for s in shares if s >= move.share)
+        needed_s = sum(self._step_s(s, fleet, now_s) for s in shares)
         if move.phase in (MovePhase.START, MovePhase.LOAD):
             needed_s += self._load_s(fleet, now_s)
         return needed_s
@@ -199,7 +215,7 @@
             move,
             phase=MovePhase.LOAD,
             share=share,
-            servers=max(MIN_SERVERS, round(share * fleet.old_servers)),
+            servers=_servers_in_use(share, fleet),
             phase_since_s=now_s,
         )
 
@@ -222,12 +238,10 @@
     ) -> VersionMove:
         if move.share >= 1.0:
             return replace(move, state=MoveState.DONE, notice="")
-        share = min(s for s in RAMP_SHARES if s > move.share)
+        share = min(s for s in ramp_shares(fleet) if s > move.share)
         if share > self._capacity_share(fleet):
             return move
-        servers = 0
-        if share < 1.0:
-            servers = max(MIN_SERVERS, ceil(share * fleet.old_servers))
+        servers = 0 if share >= 1.0 else _servers_in_use(share, fleet)
         return replace(
             move,
             phase=MovePhase.RAMP,
@@ -253,7 +267,7 @@
             return move.notice
         if fleet.new_servers == 0:
             return f"no live server of version {move.version}"
-        next_shares = [s for s in RAMP_SHARES if s > move.share]
+        next_shares = [s for s in ramp_shares(fleet) if s > move.share]
         capacity = self._capacity_share(fleet)
         if (
             move.phase is MovePhase.RAMP
@@ -298,15 +312,20 @@
             self._assessor.rarest_route_share()
         )
         needed = max(REQUESTS_TO_ACCEPT, route_requests)
-        return self._time_s(needed, self._load_share(fleet), now_s)
+        return self._time_s(needed, self._load_share(fleet), fleet, now_s)
 
-    def _step_s(self, share: float, now_s: float) -> float:
-        return self._time_s(REQUESTS_TO_ACCEPT, share, now_s)
+    def _step_s(self, share: float, fleet: FleetSize, now_s: float) -> float:
+        return self._time_s(REQUESTS_TO_ACCEPT, share, fleet, now_s)
 
-    def _time_s(self, requests: float, share: float, now_s: float) -> float:
+    def _time_s(
+        self, requests: float, share: float, fleet: FleetSize, now_s: float
+    ) -> float:
         rate_per_s = share * self._assessor.requests_per_s(now_s)
         if rate_per_s <= 0:
             return inf
+        if self._assessor.has_failing_server:
+            servers = _servers_in_use(share, fleet)
+            requests *= servers / (servers - 1)
         return max(MIN_STEP_S, requests / rate_per_s) + CONTROL_DELAY_S
 
     def _evidence(self) -> dict[str, int]:
--- a/azurewick/rollout/sequential_test.py
+++ b/azurewick/rollout/sequential_test.py
@@ -35,46 +35,95 @@
         return good, bad
 
 
+@dataclass(slots=True)
+class _ServerEvidence:
+    rejection: float = 0.0
+    acceptance: float = 0.0
+
+
 class SequentialTest:
-    """Sequential probability ratio test over yes/no outcomes.
+    """Sequential probability ratio test over the servers of a version.
 
     Rejection uses the cumulative sum form, which restarts at zero, so that
     a long good time doesn't delay the finding of a version that turns bad.
-    Acceptance uses Wald's form since the last restart.
+    It needs the evidence of all servers and, separately, that of all but
+    the worst. Acceptance uses Wald's form since the last restart and leaves
+    out the worst server when that helps.
     """
 
-    __slots__ = ("rejection", "acceptance")
+    __slots__ = ("_acceptance", "_rejection", "_rest", "_servers", "_worst")
 
     def __init__(self) -> None:
-        self.rejection = 0.0
-        self.acceptance = 0.0
-
-    def copy(self) -> SequentialTest:
-        """Return a test with the same evidence."""
-        copy = SequentialTest()
-        copy.rejection = self.rejection
-        copy.acceptance = self.acceptance
-        return copy
+        self._rejection = 0.0
+        self._rest = 0.0
+        self._acceptance = 0.0
+        self._servers: dict[str, _ServerEvidence] = {}
+        self._worst = ""
 
     def update(
         self,
-        requests: int,
-        hits: int,
+        server: str,
+        counts: tuple[int, int],
         rates: tuple[float, float],
         acceptance_rates: tuple[float, float] | None = None,
     ) -> None:
-        """Add outcomes; rates are those of a good and a bad version.
+        """Add requests and hits of a server.
 
-        acceptance_rates replace them in the test for acceptance.
+        rates are those of a good and of a bad version; acceptance_rates
+        replace them in the test for acceptance.
         """
-        change = _log_ratio(requests, hits, rates)
-        self.rejection = max(0.0, self.rejection + change)
+        change = _log_ratio(counts, rates)
+        evidence = self._servers.setdefault(server, _ServerEvidence())
+        evidence.rejection = max(0.0, evidence.rejection + change)
+        self._rejection = max(0.0, self._rejection + change)
+        if server != self._worst:
+            self._rest = max(0.0, self._rest + change)
+        self._find_worst(server)
         if acceptance_rates is not None:
-            change = _log_ratio(requests, hits, acceptance_rates)
-        self.acceptance += change
+            change = _log_ratio(counts, acceptance_rates)
+        evidence.acceptance += change
+        self._acceptance += change
 
+    def is_rejected(self, *, is_single: bool) -> bool:
+        """Return whether the fault shows, on more than one server.
 
-def _log_ratio(requests: int, hits: int, rates: tuple[float, float]) -> float:
+        is_single tells that the version has only one server.
+        """
+        if self._rejection < REJECTION_BOUND:
+            return False
+        return is_single or self._rest >= REST_REJECTION_BOUND
+
+    def is_accepted(self) -> bool:
+        """Return whether the fault is ruled out but for one server."""
+        if self._acceptance <= ACCEPTANCE_BOUND:
+            return True
+        if len(self._servers) <= 1:
+            return False
+        worst = max(item.acceptance for item in self._servers.values())
+        return self._acceptance - worst <= ACCEPTANCE_BOUND
+
+    def restart_acceptance(self) -> None:
+        """Begin a new test for acceptance."""
+        self._acceptance = 0.0
+        for evidence in self._servers.values():
+            evidence.acceptance = 0.0
+
+    def _find_worst(self, changed: str) -> None:
+        servers = self._servers
+        if changed == self._worst:
+            changed = max(servers, key=lambda name: servers[name].rejection)
+        worst = servers.get(self._worst)
+        rejection = servers[changed].rejection
+        if changed == self._worst or (
+            worst is not None and rejection <= worst.rejection
+        ):
+            return
+        self._worst = changed
+        self._rest = max(0.0, self._rejection - rejection)
+
+
+def _log_ratio(counts: tuple[int, int], rates: tuple[float, float]) -> float:
+    requests, hits = counts
     good, bad = rates
     ratio = hits * log(bad / good)
     return ratio + (requests - hits) * log((1 - bad) / (1 - good))
