--- a/azurewick/rollout/assessment.py
+++ b/azurewick/rollout/assessment.py
@@ -33,8 +33,8 @@
 # when they took longer.
 OLD_RATE_WINDOW_S = 15.0
 OLD_RATE_MIN_REQUESTS = 200
-# Weight of the rate over all routes, in requests, in the rate of one route.
-ROUTE_PRIOR_REQUESTS = 50
+# Weight of a prior rate, in requests.
+PRIOR_REQUESTS = 50
 
 
 class Measure(StrEnum):
@@ -117,23 +117,29 @@
     def __init__(self, measure: Measure, route: str) -> None:
         self.measure = measure
         self.test = SequentialTest()
-        self._route_alternative = None
+        self._alternative = ALTERNATIVES[measure]
+        self._accepted = self._alternative
         if route != ALL_ROUTES:
-            self._route_alternative = ROUTE_ACCEPTANCE_ALTERNATIVES.get(
-                measure
+            self._accepted = ROUTE_ACCEPTANCE_ALTERNATIVES.get(
+                measure, self._alternative
             )
-
-    def update(self, server: str, counts: Counts, rate: float) -> None:
-        """Add outcomes of one server at the old version's rate."""
-        hits = int(getattr(counts, self.measure.value))
-        acceptance_rates = None
-        if self._route_alternative is not None:
-            acceptance_rates = self._route_alternative.rates(rate)
+        self._weights = (0.0, 0.0)
+        self._acceptance_weights = (0.0, 0.0)
+
+    def set_old_rate(self, rate: float) -> None:
+        """Set the rate of the old version, before the first update."""
+        self._weights = self._alternative.weights(rate)
+        self._acceptance_weights = self._accepted.weights(rate)
+
+    def update(self, server: str, requests: int, hits: int) -> None:
+        """Add outcomes of one server."""
+        misses = requests - hits
+        hit, miss = self._weights
+        accepted_hit, accepted_miss = self._acceptance_weights
         self.test.update(
             server,
-            (counts.requests, hits),
-            ALTERNATIVES[self.measure].rates(rate),
-            acceptance_rates,
+            hits * hit + misses * miss,
+            hits * accepted_hit + misses * accepted_miss,
         )
 
 
@@ -153,6 +159,8 @@
         self._crashes: dict[str, dict[str, int]] = {}
         self._new = Counts()
         self._mark = Counts()
+        # Routes whose streams have the newest rates of the old version.
+        self._compared: set[str] = set()
 
     @property
     def new_counts(self) -> Counts:
@@ -181,7 +189,7 @@
                 continue
             name = (row.gateway, row.incarnation, key)
             change = row.counts - self._known.get(name, Counts())
-            if change == Counts() or self._is_older(change):
+            if not change.requests or self._is_older(change):
                 continue
             self._known[name] = row.counts
             if key.version == self.version:
@@ -237,6 +245,7 @@
         seen[name] = row.counts.crashes
 
     def _add_old(self, route: str, change: Counts, now_s: float) -> None:
+        self._compared.clear()
         self._old[ALL_ROUTES].add(change, now_s)
         self._old.setdefault(route, OldRates()).add(change, now_s)
 
@@ -248,21 +257,20 @@
             if streams is None:
                 streams = [_Stream(measure, route) for measure in Measure]
                 self._streams[route] = streams
-            for stream in streams:
-                rate = self._old_rate(route, stream.measure)
-                stream.update(key.backend_server, change, rate)
-
-    def _old_rate(self, route: str, measure: Measure) -> float:
-        pooled = self._old[ALL_ROUTES].recent()
-        floor = ALTERNATIVES[measure].floor
-        hits = getattr(pooled, measure.value) + floor * ROUTE_PRIOR_REQUESTS
-        rate: float = hits / (pooled.requests + ROUTE_PRIOR_REQUESTS)
-        old = self._old.get(route)
-        if route == ALL_ROUTES or old is None:
-            return rate
-        counts = old.recent()
-        hits = getattr(counts, measure.value) + rate * ROUTE_PRIOR_REQUESTS
-        return float(hits / (counts.requests + ROUTE_PRIOR_REQUESTS))
+            if route not in self._compared:
+                self._compare(route, streams)
+            hits = (change.failures, change.slow, change.broken)
+            for stream, number in zip(streams, hits, strict=True):
+                stream.update(key.backend_server, change.requests, number)
+
+    def _compare(self, route: str, streams: list[_Stream]) -> None:
+        """Take over the present rates of the old version."""
+        self._compared.add(route)
+        counts = [self._old[ALL_ROUTES].recent()]
+        if route != ALL_ROUTES and route in self._old:
+            counts.append(self._old[route].recent())
+        for stream in streams:
+            stream.set_old_rate(_estimate_rate(stream.measure, counts))
 
     def _find_fault(self, servers: int) -> str:
         is_single = servers == 1 and len(self._servers) <= 1
@@ -310,3 +318,16 @@
             for stream in streams
             if stream.measure is not Measure.BROKEN
         )
+
+
+def _estimate_rate(measure: Measure, counts: Iterable[Counts]) -> float:
+    """Return the old version's rate on a route.
+
+    The rate over all routes is the prior of that on one route, and the floor
+    of the measure the prior of the rate over all routes.
+    """
+    rate = ALTERNATIVES[measure].floor
+    for item in counts:
+        hits = getattr(item, measure.value) + rate * PRIOR_REQUESTS
+        rate = hits / (item.requests + PRIOR_REQUESTS)
+    return rate
--- a/azurewick/rollout/counts.py
+++ b/azurewick/rollout/counts.py
@@ -15,7 +15,9 @@
     backend_server: str = ""
 
 
-@dataclass(frozen=True, slots=True)
+# Not frozen: a frozen class takes three times as long to build, and one is
+# built for each request. Its users replace it and don't change it.
+@dataclass(slots=True)
 class Counts:
     """Counted outcomes.
 
--- a/azurewick/rollout/planner.py
+++ b/azurewick/rollout/planner.py
@@ -8,7 +8,6 @@
 from math import ceil
 from math import floor
 from math import inf
-from math import log
 
 from azurewick.rollout.assessment import ALTERNATIVES
 from azurewick.rollout.assessment import Assessment
@@ -44,8 +43,8 @@
 
 
 def _requests_to_accept(alternatives: dict[Measure, Alternative]) -> int:
-    good, bad = alternatives[Measure.FAILURES].rates(0.0)
-    return ceil(ACCEPTANCE_BOUND / log((1 - bad) / (1 - good)))
+    _, miss = alternatives[Measure.FAILURES].weights(0.0)
+    return ceil(ACCEPTANCE_BOUND / miss)
 
 
 # Requests without a failure after which a version, or a route, is accepted.
--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,189 @@
+"""Area moves: good and bad versions against fixed canary steps.
+
+Each case is a move of a class of 100 to 200 requests a second in 200 s of
+virtual time, with three routes and 5, 12 or 40 servers of each version. The
+planner sees the evidence of two groups of gateways that sync every 2 s, and
+the groups see its decisions at their next sync. The baseline raises the
+share to 5, 25, 50 and 100% at fixed times and compares the rates at the end
+of each step. Exposure is all requests that the version got over the class's
+requests in the time of the move, also those before its fault showed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from statistics import median
+
+from azurewick.rollout.models import MoveState
+from azurewick.rollout.models import TEST_SHARE
+from bench.models import BenchRow
+from bench.moves_baseline import run_canary
+from bench.moves_model import build_case
+from bench.moves_model import Case
+from bench.moves_model import Kind
+from bench.moves_model import MoveModel
+from bench.moves_model import MoveResult
+
+MOVES = 200
+BAD_MACHINE_MOVES = 40
+SCARCE_MOVES = 20
+SCARCE_REQUESTS_PER_S = 2.0
+# The undelayed evidence is assessed for one move in this many.
+DELAY_SAMPLE = 4
+
+MIN_IN_TIME = 0.99
+MAX_MEDIAN_EXPOSURE = 0.01
+MAX_CUT_DELAY_S = 5.0
+CANARY = "canary_steps"
+
+_Results = list[tuple[Case, MoveResult, MoveResult]]
+
+
+def run(seed: int) -> list[BenchRow]:
+    """Run all moves and return the figures."""
+    results = {kind: _run_kind(kind, seed) for kind in Kind}
+    good = results[Kind.GOOD]
+    bad = [item for k, r in results.items() if not k.is_good for item in r]
+    rows = [
+        _row(seed, "good_in_time", good, _in_time, low=MIN_IN_TIME),
+        _row(seed, "bad_rolled_back", bad, _rolled_back, low=1.0),
+        _row(
+            seed,
+            "bad_exposure_median",
+            bad,
+            _median_exposure,
+            high=MAX_MEDIAN_EXPOSURE,
+        ),
+        _row(seed, "bad_exposure_max", bad, _most_exposure, high=TEST_SHARE),
+        _row(
+            seed,
+            "share_before_acceptance_max",
+            bad + good,
+            _most_unaccepted,
+            high=TEST_SHARE,
+        ),
+        _delay_row(seed, [result for _, result, _ in bad]),
+        _row(
+            seed,
+            "good_bad_machine_done",
+            results[Kind.GOOD_BAD_MACHINE],
+            _done,
+            low=MIN_IN_TIME,
+        ),
+        _scarce_row(seed),
+    ]
+    for kind in Kind:
+        if kind.is_good:
+            continue
+        name = kind.value
+        items = results[kind]
+        rows += [
+            _row(seed, f"{name}.rolled_back", items, _rolled_back, low=1.0),
+            _row(seed, f"{name}.exposure_median", items, _median_exposure),
+            _row(seed, f"{name}.exposure_max", items, _most_exposure),
+        ]
+    return rows
+
+
+def _run_kind(kind: Kind, seed: int) -> _Results:
+    count = BAD_MACHINE_MOVES if kind is Kind.GOOD_BAD_MACHINE else MOVES
+    results: _Results = []
+    for number in range(count):
+        random = Random(f"{seed}/{kind}/{number}")
+        case = build_case(kind, random)
+        measures_delay = not kind.is_good and number % DELAY_SAMPLE == 0
+        model = MoveModel(case, random, measures_delay=measures_delay)
+        results.append((case, model.run(), run_canary(case, random)))
+    return results
+
+
+def _row(
+    seed: int,
+    name: str,
+    items: _Results,
+    measure: Callable[[list[tuple[Case, MoveResult]]], float],
+    *,
+    low: float | None = None,
+    high: float | None = None,
+) -> BenchRow:
+    """Return a row with its lower or upper bound."""
+    figure = measure([(case, result) for case, result, _ in items])
+    canary = measure([(case, result) for case, _, result in items])
+    is_low = low is not None and figure < low
+    is_high = high is not None and figure > high
+    return BenchRow(
+        name=f"moves.{name}",
+        seed=seed,
+        figure=round(figure, 5),
+        unit="share",
+        bound=low if low is not None else high,
+        baseline={CANARY: round(canary, 5)},
+        ok=not is_low and not is_high,
+    )
+
+
+def _delay_row(seed: int, results: list[MoveResult]) -> BenchRow:
+    delays = [r.cut_delay_s for r in results if r.cut_delay_s is not None]
+    figure = max(delays)
+    return BenchRow(
+        name="moves.cut_delay_max",
+        seed=seed,
+        figure=figure,
+        unit="s",
+        bound=MAX_CUT_DELAY_S,
+        ok=figure <= MAX_CUT_DELAY_S,
+    )
+
+
+def _scarce_row(seed: int) -> BenchRow:
+    """Return the share of hopeless moves with a notice in half the time."""
+    noticed = 0
+    for number in range(SCARCE_MOVES):
+        random = Random(f"{seed}/scarce/{number}")
+        case = replace(
+            build_case(Kind.GOOD, random),
+            requests_per_s=SCARCE_REQUESTS_PER_S,
+        )
+        result = MoveModel(case, random).run()
+        if result.notice_s is not None:
+            noticed += result.notice_s <= case.duration_s / 2
+    figure = noticed / SCARCE_MOVES
+    return BenchRow(
+        name="moves.scarce_traffic_noticed_early",
+        seed=seed,
+        figure=figure,
+        unit="share",
+        bound=1.0,
+        ok=figure >= 1.0,
+    )
+
+
+def _in_time(items: list[tuple[Case, MoveResult]]) -> float:
+    return sum(
+        result.state is MoveState.DONE and result.done_s <= case.duration_s
+        for case, result in items
+    ) / len(items)
+
+
+def _done(items: list[tuple[Case, MoveResult]]) -> float:
+    done = sum(result.state is MoveState.DONE for _, result in items)
+    return done / len(items)
+
+
+def _rolled_back(items: list[tuple[Case, MoveResult]]) -> float:
+    count = sum(result.state is MoveState.ROLLED_BACK for _, result in items)
+    return count / len(items)
+
+
+def _median_exposure(items: list[tuple[Case, MoveResult]]) -> float:
+    return median(result.exposure for _, result in items)
+
+
+def _most_exposure(items: list[tuple[Case, MoveResult]]) -> float:
+    return max(result.exposure for _, result in items)
+
+
+def _most_unaccepted(items: list[tuple[Case, MoveResult]]) -> float:
+    return max(result.unaccepted_share for _, result in items)
