--- a/azurewick/rollout/assessment.py
+++ b/azurewick/rollout/assessment.py
@@ -19,10 +19,7 @@
 from azurewick.rollout.counts import Counts
 from azurewick.rollout.counts import EvidenceKey
 from azurewick.rollout.counts import EvidenceRow
-from azurewick.rollout.sequential_test import ACCEPTANCE_BOUND
 from azurewick.rollout.sequential_test import Alternative
-from azurewick.rollout.sequential_test import REJECTION_BOUND
-from azurewick.rollout.sequential_test import REST_REJECTION_BOUND
 from azurewick.rollout.sequential_test import SequentialTest
 
 # Three crashes are what one poison request may cause at most.
@@ -36,8 +33,8 @@
 # when they took longer.
 OLD_RATE_WINDOW_S = 15.0
 OLD_RATE_MIN_REQUESTS = 200
-# Weight of the rate over all routes, in requests, in the rate of one route.
-ROUTE_PRIOR_REQUESTS = 50
+# Weight of a prior rate, in requests.
+PRIOR_REQUESTS = 50
 
 
 class Measure(StrEnum):
@@ -115,59 +112,36 @@
 
 
 class _Stream:
-    """Tests of one measure on one route, with and without each server."""
+    """Test of one measure on one route."""
 
     def __init__(self, measure: Measure, route: str) -> None:
         self.measure = measure
-        self._is_route = route != ALL_ROUTES
-        self._total = SequentialTest()
-        self._without: dict[str, SequentialTest] = {}
-
-    def update(
-        self, server: str, servers: Iterable[str], counts: Counts, rate: float
-    ) -> None:
-        """Add outcomes of one server at the old version's rate."""
-        hits = int(getattr(counts, self.measure.value))
-        rates = ALTERNATIVES[self.measure].rates(rate)
-        tests = [self._total]
-        for name in servers:
-            if name not in self._without:
-                self._without[name] = self._total.copy()
-            if name != server:
-                tests.append(self._without[name])
-        acceptance_rates = None
-        alternative = ROUTE_ACCEPTANCE_ALTERNATIVES.get(self.measure)
-        if self._is_route and alternative is not None:
-            acceptance_rates = alternative.rates(rate)
-        for test in tests:
-            test.update(counts.requests, hits, rates, acceptance_rates)
-
-    def is_rejected(self, is_single: bool) -> bool:
-        """Return whether the fault shows, on more than one server."""
-        if self._total.rejection < REJECTION_BOUND:
-            return False
-        if is_single:
-            return True
-        return len(self._without) >= MIN_SERVERS and all(
-            test.rejection >= REST_REJECTION_BOUND
-            for test in self._without.values()
-        )
-
-    def is_accepted(self) -> bool:
-        """Return whether the fault is ruled out but for one server."""
-        if self._total.acceptance <= ACCEPTANCE_BOUND:
-            return True
-        return len(self._without) >= MIN_SERVERS and any(
-            test.acceptance <= ACCEPTANCE_BOUND
-            for test in self._without.values()
+        self.test = SequentialTest()
+        self._alternative = ALTERNATIVES[measure]
+        self._accepted = self._alternative
+        if route != ALL_ROUTES:
+            self._accepted = ROUTE_ACCEPTANCE_ALTERNATIVES.get(
+                measure, self._alternative
+            )
+        self._weights = (0.0, 0.0)
+        self._acceptance_weights = (0.0, 0.0)
+
+    def set_old_rate(self, rate: float) -> None:
+        """Set the rate of the old version, before the first update."""
+        self._weights = self._alternative.weights(rate)
+        self._acceptance_weights = self._accepted.weights(rate)
+
+    def update(self, server: str, requests: int, hits: int) -> None:
+        """Add outcomes of one server."""
+        misses = requests - hits
+        hit, miss = self._weights
+        accepted_hit, accepted_miss = self._acceptance_weights
+        self.test.update(
+            server,
+            hits * hit + misses * miss,
+            hits * accepted_hit + misses * accepted_miss,
         )
 
-    def restart_acceptance(self) -> None:
-        """Begin new tests for acceptance."""
-        self._total.acceptance = 0.0
-        for test in self._without.values():
-            test.acceptance = 0.0
-
 
 class MoveAssessor:
     """Assesses a version of a class from rows of cumulative counts.
@@ -185,6 +159,8 @@
         self._crashes: dict[str, dict[str, int]] = {}
         self._new = Counts()
         self._mark = Counts()
+        # Routes whose streams have the newest rates of the old version.
+        self._compared: set[str] = set()
 
     @property
     def new_counts(self) -> Counts:
@@ -196,6 +172,14 @@
         """Return the counted requests of the class on all versions."""
         return self._new.requests + self._old[ALL_ROUTES].total.requests
 
+    @property
+    def has_failing_server(self) -> bool:
+        """Return whether a fault shows on one server and on no other."""
+        return any(
+            stream.test.is_rejected(is_single=True)
+            for stream in self._streams.get(ALL_ROUTES, ())
+        )
+
     def update(self, rows: Iterable[EvidenceRow], now_s: float) -> None:
         """Add the growth of the rows."""
         changes: list[tuple[EvidenceKey, Counts]] = []
@@ -205,7 +189,7 @@
                 continue
             name = (row.gateway, row.incarnation, key)
             change = row.counts - self._known.get(name, Counts())
-            if change == Counts() or self._is_older(change):
+            if not change.requests or self._is_older(change):
                 continue
             self._known[name] = row.counts
             if key.version == self.version:
@@ -249,7 +233,7 @@
         self._mark = self._new
         for streams in self._streams.values():
             for stream in streams:
-                stream.restart_acceptance()
+                stream.test.restart_acceptance()
 
     def _is_older(self, change: Counts) -> bool:
         # Only a crash that turns out to repeat a request takes counts back.
@@ -261,6 +245,7 @@
         seen[name] = row.counts.crashes
 
     def _add_old(self, route: str, change: Counts, now_s: float) -> None:
+        self._compared.clear()
         self._old[ALL_ROUTES].add(change, now_s)
         self._old.setdefault(route, OldRates()).add(change, now_s)
 
@@ -272,27 +257,26 @@
             if streams is None:
                 streams = [_Stream(measure, route) for measure in Measure]
                 self._streams[route] = streams
-            for stream in streams:
-                rate = self._old_rate(route, stream.measure)
-                stream.update(key.backend_server, self._servers, change, rate)
-
-    def _old_rate(self, route: str, measure: Measure) -> float:
-        pooled = self._old[ALL_ROUTES].recent()
-        floor = ALTERNATIVES[measure].floor
-        hits = getattr(pooled, measure.value) + floor * ROUTE_PRIOR_REQUESTS
-        rate: float = hits / (pooled.requests + ROUTE_PRIOR_REQUESTS)
-        old = self._old.get(route)
-        if route == ALL_ROUTES or old is None:
-            return rate
-        counts = old.recent()
-        hits = getattr(counts, measure.value) + rate * ROUTE_PRIOR_REQUESTS
-        return float(hits / (counts.requests + ROUTE_PRIOR_REQUESTS))
+            if route not in self._compared:
+                self._compare(route, streams)
+            hits = (change.failures, change.slow, change.broken)
+            for stream, number in zip(streams, hits, strict=True):
+                stream.update(key.backend_server, change.requests, number)
+
+    def _compare(self, route: str, streams: list[_Stream]) -> None:
+        """Take over the present rates of the old version."""
+        self._compared.add(route)
+        counts = [self._old[ALL_ROUTES].recent()]
+        if route != ALL_ROUTES and route in self._old:
+            counts.append(self._old[route].recent())
+        for stream in streams:
+            stream.set_old_rate(_estimate_rate(stream.measure, counts))
 
     def _find_fault(self, servers: int) -> str:
         is_single = servers == 1 and len(self._servers) <= 1
         for route, streams in self._streams.items():
             for stream in streams:
-                if not stream.is_rejected(is_single):
+                if not stream.test.is_rejected(is_single=is_single):
                     continue
                 if stream.measure is Measure.BROKEN and not (
                     self._has_crashed(is_single)
@@ -330,7 +314,20 @@
     def _is_stream_accepted(self, route: str) -> bool:
         streams = self._streams.get(route)
         return streams is not None and all(
-            stream.is_accepted()
+            stream.test.is_accepted()
             for stream in streams
             if stream.measure is not Measure.BROKEN
         )
+
+
+def _estimate_rate(measure: Measure, counts: Iterable[Counts]) -> float:
+    """Return the old version's rate on a route.
+
+    The rate over all routes is the prior of that on one route, and the floor
+    of the measure the prior of the rate over all routes.
+    """
+    rate = ALTERNATIVES[measure].floor
+    for item in counts:
+        hits = getattr(item, measure.value) + rate * PRIOR_REQUESTS
+        rate = hits / (item.requests + PRIOR_REQUESTS)
+    return rate
--- a/azurewick/rollout/sequential_test.py
+++ b/azurewick/rollout/sequential_test.py
@@ -28,53 +28,89 @@
     margin: float
     ratio: float
 
-    def rates(self, old_rate: float) -> tuple[float, float]:
-        """Return the rates of a good and of a bad version."""
+    def weights(self, old_rate: float) -> tuple[float, float]:
+        """Return the log likelihood ratios of a hit and of a miss."""
         good = min(max(old_rate, self.floor), 0.9)
         bad = min(max(good + self.margin, good * self.ratio), 0.95)
-        return good, bad
+        return log(bad / good), log((1 - bad) / (1 - good))
+
+
+@dataclass(slots=True)
+class _ServerEvidence:
+    rejection: float = 0.0
+    acceptance: float = 0.0
 
 
 class SequentialTest:
-    """Sequential probability ratio test over yes/no outcomes.
+    """Sequential probability ratio test over the servers of a version.
 
     Rejection uses the cumulative sum form, which restarts at zero, so that
     a long good time doesn't delay the finding of a version that turns bad.
-    Acceptance uses Wald's form since the last restart.
+    It needs the evidence of all servers and, separately, that of all but
+    the worst. Acceptance uses Wald's form since the last restart and leaves
+    out the worst server when that helps.
     """
 
-    __slots__ = ("rejection", "acceptance")
+    __slots__ = ("_acceptance", "_rejection", "_rest", "_servers", "_worst")
 
     def __init__(self) -> None:
-        self.rejection = 0.0
-        self.acceptance = 0.0
-
-    def copy(self) -> SequentialTest:
-        """Return a test with the same evidence."""
-        copy = SequentialTest()
-        copy.rejection = self.rejection
-        copy.acceptance = self.acceptance
-        return copy
+        self._rejection = 0.0
+        self._rest = 0.0
+        self._acceptance = 0.0
+        self._servers: dict[str, _ServerEvidence] = {}
+        self._worst = ""
 
     def update(
-        self,
-        requests: int,
-        hits: int,
-        rates: tuple[float, float],
-        acceptance_rates: tuple[float, float] | None = None,
+        self, server: str, change: float, acceptance_change: float
     ) -> None:
-        """Add outcomes; rates are those of a good and a bad version.
+        """Add log likelihood ratios of a server's outcomes.
 
-        acceptance_rates replace them in the test for acceptance.
+        They are those of the tests for rejection and for acceptance.
         """
-        change = _log_ratio(requests, hits, rates)
-        self.rejection = max(0.0, self.rejection + change)
-        if acceptance_rates is not None:
-            change = _log_ratio(requests, hits, acceptance_rates)
-        self.acceptance += change
-
-
-def _log_ratio(requests: int, hits: int, rates: tuple[float, float]) -> float:
-    good, bad = rates
-    ratio = hits * log(bad / good)
-    return ratio + (requests - hits) * log((1 - bad) / (1 - good))
+        evidence = self._servers.get(server)
+        if evidence is None:
+            evidence = self._servers[server] = _ServerEvidence()
+        evidence.rejection = max(0.0, evidence.rejection + change)
+        evidence.acceptance += acceptance_change
+        self._rejection = max(0.0, self._rejection + change)
+        self._acceptance += acceptance_change
+        if server != self._worst:
+            self._rest = max(0.0, self._rest + change)
+        self._find_worst(server, evidence)
+
+    def is_rejected(self, *, is_single: bool) -> bool:
+        """Return whether the fault shows, on more than one server.
+
+        is_single tells that the version has only one server.
+        """
+        if self._rejection < REJECTION_BOUND:
+            return False
+        return is_single or self._rest >= REST_REJECTION_BOUND
+
+    def is_accepted(self) -> bool:
+        """Return whether the fault is ruled out but for one server."""
+        if self._acceptance <= ACCEPTANCE_BOUND:
+            return True
+        if len(self._servers) <= 1:
+            return False
+        worst = max(item.acceptance for item in self._servers.values())
+        return self._acceptance - worst <= ACCEPTANCE_BOUND
+
+    def restart_acceptance(self) -> None:
+        """Begin a new test for acceptance."""
+        self._acceptance = 0.0
+        for evidence in self._servers.values():
+            evidence.acceptance = 0.0
+
+    def _find_worst(self, name: str, evidence: _ServerEvidence) -> None:
+        servers = self._servers
+        if name == self._worst:
+            name = max(servers, key=lambda item: servers[item].rejection)
+            evidence = servers[name]
+        worst = servers.get(self._worst)
+        if name == self._worst or (
+            worst is not None and evidence.rejection <= worst.rejection
+        ):
+            return
+        self._worst = name
+        self._rest = max(0.0, self._rejection - evidence.rejection)
