--- /dev/null
+++ b/tests/configuration/test_coordinator.py
@@ -0,0 +1,103 @@
+"""Tests of changes by operators."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from azurewick.configuration.coordinator import ConfigurationCoordinator
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
+from azurewick.helpers.clock import monotonic_s
+from tests.control.builders import Cluster
+from tests.control.builders import SilentServer
+from tests.membership.builders import async_until
+from tests.membership.builders import configuration_spec
+from tests.membership.builders import gateway_spec
+from tests.platform.builders import MemoryStore
+
+KEY = ("configurations", "fleet")
+
+
+class ApplyTest(IsolatedAsyncioTestCase):
+    """Guards against a lost, doubled or silently overwritten change."""
+
+    def setUp(self):
+        self.store = MemoryStore()
+
+    def _build(self):
+        return ConfigurationCoordinator(self.store, monotonic_s, Random(1))
+
+    async def test_invalid_spec_is_not_written(self):
+        with self.assertRaises(AzurewickError) as caught:
+            await self._build().async_apply({"pools": 1}, 0, "one")
+        self.assertEqual(
+            ErrorCode.INVALID_CONFIGURATION, caught.exception.code
+        )
+        self.assertEqual([], self.store.calls)
+
+    async def test_racing_operators_have_one_winner(self):
+        operators = [self._build() for _ in range(5)]
+        results = await asyncio.gather(
+            *(
+                one.async_apply(configuration_spec(), 0, f"operation-{index}")
+                for index, one in enumerate(operators)
+            ),
+            return_exceptions=True,
+        )
+        losers = [one for one in results if isinstance(one, AzurewickError)]
+        self.assertEqual(4, len(losers))
+        winner = self.store.objects[KEY].status["operations"][-1]
+        for loser in losers:
+            self.assertEqual(
+                (ErrorCode.STORE_CONFLICT, Outcome.NOT_RUN),
+                (loser.code, loser.outcome),
+            )
+            self.assertIn(winner, loser.message)
+
+    async def test_lost_answer_is_resolved_by_reading_back(self):
+        self.store.lose_answers = 1
+        result = await self._build().async_apply(
+            configuration_spec(), 0, "one"
+        )
+        self.assertEqual((1, False), (result.revision, result.superseded))
+        await self._build().async_apply(configuration_spec(2), 1, "two")
+        again = await self._build().async_apply(configuration_spec(), 0, "one")
+        self.assertEqual((2, True), (again.revision, again.superseded))
+        self.assertEqual(2, self.store.version)
+
+    async def test_outage_after_a_lost_answer_is_unknown(self):
+        coordinator = self._build()
+        for lose, outcome in ((0, Outcome.NOT_RUN), (1, Outcome.UNKNOWN)):
+            with self.subTest(outcome):
+                self.store.lose_answers = lose
+                self.store.set_down(not lose)
+                task = asyncio.create_task(
+                    coordinator.async_apply(configuration_spec(), 0, "one")
+                )
+                if lose:
+                    await async_until(lambda: not self.store.lose_answers)
+                    self.store.set_down(True)
+                with self.assertRaises(AzurewickError) as caught:
+                    await task
+                self.assertEqual(outcome, caught.exception.outcome)
+
+    async def test_in_force_counts_gateways(self):
+        cluster = Cluster(self)
+        self.store = cluster.store
+        coordinator = self._build()
+        result = await coordinator.async_apply(configuration_spec(), 0, "one")
+        await cluster.async_add("gateway-0")
+        report = await coordinator.async_wait_in_force(result.revision, 20.0)
+        self.assertEqual((1, True), (report.in_force, report.is_complete))
+        silent = SilentServer()
+        address = await silent.async_start()
+        self.addCleanup(silent.server.close)
+        self.store.put("instances", "frozen", gateway_spec(address))
+        report = await coordinator.async_wait_in_force(10**6, 0.0)
+        self.assertEqual(
+            (0, ("gateway-0",), ("frozen",)),
+            (report.in_force, report.behind, report.unreachable),
+        )
--- /dev/null
+++ b/tests/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of leases."""
