Separate the choice of neighbours and the transport from the sync loop

Change: Neighbours holds the choices after contacts; SyncNode takes a transport. Lost gateways are tried again in each round and return within 2 s, and watches wait at most 5 s, so that a change crosses the regions soon after a partition.

--- a/azurewick/control/sync.py
+++ b/azurewick/control/sync.py
@@ -53,8 +53,8 @@
     def place(self) -> Place:
         """Return the own place among the live gateways."""
 
-    def cross_check_peers(self) -> Sequence[GatewayInstance]:
-        """Return gateways for a cross-check, the most useful first."""
+    def choose_cross_check(self, is_due: bool) -> GatewayInstance | None:
+        """Return a lost gateway that may be back, or another when due."""
 
     def find_gateway(self, name: str) -> GatewayInstance | None:
         """Return a listed gateway."""
@@ -69,6 +69,38 @@
         """Learn that documents or urgent digest entries changed."""
 
 
+class SyncTransport(Protocol):
+    """Way to call a gateway."""
+
+    async def async_call(
+        self, address: str, request: pb.SyncRequest
+    ) -> pb.SyncReply:
+        """Return the answer; GRPCError or OSError when there is none."""
+
+    def close(self) -> None:
+        """Close the connections."""
+
+
+class GrpcTransport:
+    """Calls gateways over grpclib."""
+
+    def __init__(self) -> None:
+        self._channels = ChannelPool()
+
+    async def async_call(
+        self, address: str, request: pb.SyncRequest
+    ) -> pb.SyncReply:
+        """Return the answer; GRPCError or OSError when there is none."""
+        reply: pb.SyncReply = await ControlStub(
+            self._channels.get(address)
+        ).Sync(request)
+        return reply
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._channels.close()
+
+
 class SyncNode(ControlBase):
     """Exchanges documents and digests with peers.
 
@@ -85,6 +117,7 @@
         interval_s: float,
         clock: Callable[[], float],
         random: Random,
+        transport: SyncTransport | None = None,
     ) -> None:
         self._replica = replica
         self._observer = observer
@@ -92,7 +125,7 @@
         self._interval_s = interval_s
         self._clock = clock
         self._random = random
-        self._channels = ChannelPool()
+        self._transport = transport or GrpcTransport()
         self._changed = asyncio.Event()
         self._push = asyncio.Event()
         self._bearers: dict[str, None] = {}
@@ -106,7 +139,7 @@
         """Answer the held calls and close the connections."""
         self._stopping = True
         self._wake_held()
-        self._channels.close()
+        self._transport.close()
 
     def notify(self, *, urgent: bool = False) -> None:
         """Answer held calls; urgent also sends the digest upwards now."""
@@ -206,8 +239,7 @@
         self.exchanges += 1
         try:
             async with asyncio.timeout(hold_s + ANSWER_GRACE_S):
-                stub = ControlStub(self._channels.get(peer.address))
-                reply = await stub.Sync(request)
+                reply = await self._transport.async_call(peer.address, request)
             changed = self._replica.accept_reply(
                 peer.name, reply, sent, self._clock()
             )
@@ -228,9 +260,10 @@
     async def _async_round(self) -> bool:
         """Call peers until one answers; True when it brought a change."""
         self._rounds += 1
-        if self._rounds % ROUNDS_PER_CROSS_CHECK == 0:
-            for gateway in self._observer.cross_check_peers()[:1]:
-                await self._async_try(_as_peer(gateway))
+        is_due = self._rounds % ROUNDS_PER_CROSS_CHECK == 0
+        checked = self._observer.choose_cross_check(is_due)
+        if checked is not None:
+            await self._async_try(_as_peer(checked))
         place = self._observer.place()
         hold_s = self._jittered_interval_s()
         for peer in self._choose_peers(place):
--- a/azurewick/membership/coordinator.py
+++ b/azurewick/membership/coordinator.py
@@ -8,7 +8,6 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
-from collections.abc import Sequence
 from logging import getLogger
 from random import Random
 from typing import Any
@@ -29,9 +28,8 @@
 from azurewick.control.replica import ROLE_AGENT
 from azurewick.control.sync import SyncNode
 from azurewick.control.topology import Place
-from azurewick.control.topology import place_agent
-from azurewick.control.topology import place_gateway
 from azurewick.errors import AzurewickError
+from azurewick.membership.neighbours import Neighbours
 from azurewick.membership.prober import Prober
 from azurewick.membership.store_source import StoreSource
 from azurewick.membership.view import MembershipView
@@ -70,6 +68,15 @@
         self._random = Random(f"{settings.name}/{incarnation or uuid4()}")
         self.incarnation = incarnation or uuid4().hex[:12]
         self._view = MembershipView()
+        self._neighbours = Neighbours(
+            name=settings.name,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            is_agent=settings.role == ROLE_AGENT,
+            view=self._view,
+            clock=clock,
+            random=self._random,
+        )
         self._replica = Replica(
             settings.name,
             settings.role,
@@ -83,7 +90,6 @@
         self._sync: SyncNode | None = None
         self._server: Server | None = None
         self._bootstrapped = False
-        self._contact_s = clock()
         self._candidate: ConfigurationSnapshot | None = None
         self._listeners: list[Callable[[], None]] = []
         self._load_listeners: list[Callable[[LoadReport], None]] = []
@@ -266,53 +272,32 @@
         if not self._replica.documents[DocumentName.INSTANCES].revision:
             # Without the list a gateway can't know whether it is a relay.
             return (DocumentName.INSTANCES,)
-        is_isolated = now_s - self._contact_s > ISOLATION_S
+        is_isolated = now_s - self._neighbours.contact_s > ISOLATION_S
         if self.place().is_relay or is_isolated:
             return tuple(DocumentName)
         return ()
 
     def place(self) -> Place:
         """Return the own place among the live gateways."""
-        settings = self._settings
-        choose = place_agent if settings.role == ROLE_AGENT else place_gateway
-        return choose(
-            settings.name,
-            settings.region,
-            settings.failure_domain,
-            self._view.gateways(),
-        )
+        return self._neighbours.place()
 
-    def cross_check_peers(self) -> Sequence[GatewayInstance]:
-        """Return a gateway that may be back, or another of the domain."""
-        waiting = self._view.gateways_to_retry(self._clock())
-        others = [
-            one
-            for one in self._view.gateways()
-            if one.name != self._settings.name
-        ]
-        near = [
-            one
-            for one in others
-            if one.failure_domain == self._settings.failure_domain
-        ]
-        choice = list(waiting) or near or others
-        return self._random.sample(choice, min(1, len(choice)))
+    def choose_cross_check(self, is_due: bool) -> GatewayInstance | None:
+        """Return a lost gateway that may be back, or another when due."""
+        return self._neighbours.choose_cross_check(is_due)
 
     def find_gateway(self, name: str) -> GatewayInstance | None:
         """Return a listed gateway."""
-        return self._view.find_gateway(name)
+        return self._neighbours.find_gateway(name)
 
     def record_contact(self, peer: str) -> None:
         """Learn that a gateway answered a Sync."""
-        self._contact_s = self._clock()
-        self._view.record_success(peer, self._contact_s)
+        self._neighbours.record_contact(peer)
         for listener in tuple(self._contact_listeners):
             listener()
 
     def record_no_contact(self, peer: str) -> None:
         """Learn that a gateway didn't answer a Sync."""
-        if self._view.find_gateway(peer) is not None:
-            self._view.record_failure(peer, self._clock(), refused=True)
+        self._neighbours.record_no_contact(peer)
 
     def record_changes(self, changed: set[DocumentName]) -> None:
         """Put changed documents in force and call the listeners."""
--- a/azurewick/membership/view.py
+++ b/azurewick/membership/view.py
@@ -20,6 +20,9 @@
 # doesn't come and go with each probe.
 MINIMUM_ABSENCE_S = 1.0
 MAXIMUM_ABSENCE_S = 15.0
+# A gateway is only called for Sync. It returns soon, so that a change crosses
+# the regions within seconds after a partition.
+MAXIMUM_GATEWAY_ABSENCE_S = 2.0
 # A returned server is on trial for this long: one failure takes it out.
 TRIAL_S = 10.0
 # After this time without a failure the absence starts small again.
@@ -106,7 +109,12 @@
         if is_lost:
             health.suspected = True
             health.absent_until_s = now_s + health.absence_s
-            health.absence_s = min(MAXIMUM_ABSENCE_S, health.absence_s * 2)
+            maximum_s = (
+                MAXIMUM_GATEWAY_ABSENCE_S
+                if name in self._instances.gateways
+                else MAXIMUM_ABSENCE_S
+            )
+            health.absence_s = min(maximum_s, health.absence_s * 2)
 
     def record_success(self, name: str, now_s: float) -> None:
         """Count an answered offer or probe."""
--- a/azurewick/membership/watcher.py
+++ b/azurewick/membership/watcher.py
@@ -22,6 +22,8 @@
 WATCH_TIMEOUT_S = 30.0
 # A store that ends each watch at once must not be asked in a busy loop.
 SHORTEST_WATCH_S = 1.0
+# Only the relays watch, so that short waits don't burden a returning store.
+MAX_BACKOFF_S = 5.0
 
 
 class StoreWatcher:
@@ -42,7 +44,7 @@
         self._plural = plural
         self._on_change = on_change
         self._clock = clock
-        self._backoff = Backoff(random)
+        self._backoff = Backoff(random, maximum_s=MAX_BACKOFF_S)
         self._objects: dict[str, StoredObject] = {}
         self._version: int | None = None
         self._reachable: bool | None = None
