--- a/azurewick/gateway/application.py
+++ b/azurewick/gateway/application.py
@@ -112,14 +112,14 @@
 class GatewayService(Service):
     """aiomisc service that runs a gateway until SIGTERM."""
 
-    def __init__(self, settings: GatewaySettings, **kwargs: Any) -> None:
+    def __init__(self, components: GatewayComponents, **kwargs: Any) -> None:
         super().__init__(**kwargs)
-        self._settings = settings
+        self._components = components
         self._gateway: Gateway | None = None
 
     async def start(self) -> None:
         """Start the gateway."""
-        self._gateway = Gateway(build_components(self._settings))
+        self._gateway = Gateway(self._components)
         await self._gateway.async_start()
 
     async def stop(self, exception: Exception | None = None) -> None:
@@ -132,8 +132,14 @@
 
 def run_gateway(settings: GatewaySettings) -> int:
     """Run the gateway until it is stopped and return the exit code."""
+    return run_components(build_components(settings))
+
+
+def run_components(components: GatewayComponents) -> int:
+    """Run a gateway of given components until SIGTERM."""
+    settings = components.settings
     with entrypoint(
-        GatewayService(settings),
+        GatewayService(components),
         log_config=False,
         shutdown_timeout=settings.drain_delay_s
         + settings.drain_timeout_s
--- a/azurewick/gateway/metrics.py
+++ b/azurewick/gateway/metrics.py
@@ -29,6 +29,10 @@
         self.offers = self._counter(
             "azurewick_offers_total", "Offers to agents by class."
         )
+        self.retries = self._counter(
+            "azurewick_retries_total",
+            "Offers after the first one of a request, by class.",
+        )
         self.joins = self._counter(
             "azurewick_joins_total", "Requests that joined a running one."
         )
@@ -97,10 +101,13 @@
         if is_good:
             self.level_good.inc({"class": request_class})
 
-    def count_offer(self, request_class: str) -> None:
+    def count_offer(self, request_class: str, is_retry: bool) -> None:
         """Count an offer to an agent."""
         self.offers.inc({"class": request_class})
         self.counts["offers"] = self.counts.get("offers", 0) + 1
+        if is_retry:
+            self.retries.inc({"class": request_class})
+            self.counts["retries"] = self.counts.get("retries", 0) + 1
 
     def count_join(self, request_class: str) -> None:
         """Count a request that joined a running one."""
--- a/azurewick/gateway/offer.py
+++ b/azurewick/gateway/offer.py
@@ -39,6 +39,7 @@
     offers: int = 0
     floor_confirmed: bool = False
     none_left: bool = False
+    refusal: AzurewickError | None = None
 
 
 class OfferLoop:
@@ -62,14 +63,18 @@
                 running.context, frozenset(progress.excluded)
             )
             if isinstance(server, AzurewickError):
-                error = server
+                # An agent's own refusal says more than that none is left.
+                error = progress.refusal or server
                 progress.none_left = True
             else:
                 progress.offers += 1
+                self._components.metrics.count_offer(
+                    running.context.class_label, progress.offers > 1
+                )
                 answer = await self._async_offer(running, pool, server)
                 if not isinstance(answer, AzurewickError):
                     return answer
-                error = answer
+                error = progress.refusal = answer
                 if error.code not in RETRY_CODES | SHED_CODES:
                     raise error
                 progress.excluded.add(server.name)
@@ -90,21 +95,29 @@
         confirmed: it frees the room that lower tiers hold in the queues. An
         agent gets a request once, because its ledger refuses known ids.
         """
-        tier = running.context.request_class.tier
-        floor = self._components.floor
-        is_shed = error.code in SHED_CODES
-        at_last = progress.offers >= MAX_OFFERS - 1 or progress.none_left
-        if is_shed and at_last and not progress.floor_confirmed:
-            if not await floor.async_confirm(pool.name, tier):
-                raise AzurewickError(
-                    ErrorCode.NOT_READY,
-                    "admission floor of the pool could not be confirmed",
-                    step=Step.SELECT,
-                )
-            progress.floor_confirmed = True
-        if progress.none_left or progress.offers >= MAX_OFFERS:
+        budget = pool.retry_budget
+        can_go_on = not progress.none_left and progress.offers < MAX_OFFERS
+        needs_floor = error.code in SHED_CODES and not progress.floor_confirmed
+        is_last = progress.offers == MAX_OFFERS - 1
+        if can_go_on and not (needs_floor and is_last):
+            if budget.try_retry(monotonic_s()):
+                return True
+        if not needs_floor:
             return False
-        return pool.retry_budget.try_retry(monotonic_s())
+        await self._async_confirm_floor(running, pool)
+        progress.floor_confirmed = True
+        return can_go_on and budget.try_retry(monotonic_s())
+
+    async def _async_confirm_floor(
+        self, running: RunningRequest, pool: PoolState
+    ) -> None:
+        tier = running.context.request_class.tier
+        if not await self._components.floor.async_confirm(pool.name, tier):
+            raise AzurewickError(
+                ErrorCode.NOT_READY,
+                "admission floor of the pool could not be confirmed",
+                step=Step.SELECT,
+            )
 
     async def _async_offer(
         self, running: RunningRequest, pool: PoolState, server: BackendServer
@@ -112,7 +125,6 @@
         """Return the answer, or the error of an offer that was not run."""
         offer = pool.build_offer(running.context, server.name)
         run = OfferRun(self._components, running, pool, server, offer)
-        self._components.metrics.count_offer(running.context.class_label)
         try:
             return await run.async_run()
         finally:
--- a/azurewick/gateway/offer_run.py
+++ b/azurewick/gateway/offer_run.py
@@ -92,6 +92,9 @@
             )
         except AgentAnswerLostError as err:
             self._record_crash()
+            if self._offer.repeatable:
+                # A paused agent must not run it when it resumes.
+                self._send_cancel()
             raise self._error(
                 ErrorCode.OUTCOME_UNKNOWN,
                 f"no answer to the offer: {err}",
@@ -266,6 +269,9 @@
 
     def _cancel(self) -> None:
         self._record(OfferStatus.CANCELLED)
+        self._send_cancel()
+
+    def _send_cancel(self) -> None:
         self._components.background.create_task(
             self._components.agents.async_cancel(
                 self._server, self._offer.request_id
--- a/azurewick/gateway/server.py
+++ b/azurewick/gateway/server.py
@@ -8,6 +8,8 @@
 from random import Random
 from typing import Any
 
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_exceptions import LineTooLong
 from aiohttp.web import BaseRequest
 from aiohttp.web import json_response
 from aiohttp.web import RequestHandler
@@ -50,7 +52,7 @@
 KEEPALIVE_S = 75.0
 # Time to read the rest of a refused body: a caller that still writes
 # might otherwise lose the error to a reset.
-LINGERING_S = 5.0
+LINGERING_S = 2.0
 # Errors that are the caller's own don't count for the service level.
 CALLER_STATUS = range(400, 500)
 
@@ -69,6 +71,32 @@
             return
         self._loop.call_later(manager.header_timeout_s, self._check_started)
 
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> StreamResponse:
+        """Return the answer to a request that can't be parsed.
+
+        aiohttp logs a traceback for each, which a flood of bad requests
+        would use to fill the log.
+        """
+        if not isinstance(exc, HttpProcessingError):
+            return super().handle_error(request, status, exc, message)
+        too_large = isinstance(exc, LineTooLong) or "headers" in exc.message
+        error = AzurewickError(
+            ErrorCode.HEADERS_TOO_LARGE
+            if too_large
+            else ErrorCode.INVALID_REQUEST,
+            "request head is too large or malformed",
+            step=Step.RECEIVE,
+        )
+        response = json_response(error.as_body(), status=error.http_status)
+        response.force_close()
+        return response
+
     def _check_started(self) -> None:
         if self._request_count == 0:
             self.force_close()
--- a/azurewick/gateway/shedding.py
+++ b/azurewick/gateway/shedding.py
@@ -100,10 +100,13 @@
         cluster: ClusterState,
         client: FloorClient,
         create_round: Callable[[Sequence[str], float], FloorRound],
+        *,
+        round_timeout_s: float = ROUND_TIMEOUT_S,
     ) -> None:
         self._cluster = cluster
         self._client = client
         self._create_round = create_round
+        self._round_timeout_s = round_timeout_s
         # Servers that may dispatch, by pool and name: those that left the
         # list work off their queues and need the floor as well.
         self._agents: dict[str, dict[str, BackendServer]] = {}
@@ -172,7 +175,7 @@
         self.rounds_started += 1
         floor_round = self._create_round(tuple(agents), started_s)
         waiting = dict(agents)
-        while (now_s := monotonic_s()) - started_s < ROUND_TIMEOUT_S:
+        while (now_s := monotonic_s()) - started_s < self._round_timeout_s:
             if self._find_agents(pool, now_s).keys() - agents.keys():
                 # A round knows its agents from the start, so a server that
                 # joins the pool needs a new one.
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from asyncio import Event
+from asyncio import sleep
+from asyncio import timeout
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import replace
 import json
+from logging import Logger
+from logging import NullHandler
 from random import Random
 from typing import Any
 
@@ -38,6 +42,8 @@
 from azurewick.settings.models import GatewaySettings
 from azurewick.settings.models import StoreSettings
 
+# A time-out of the tests is only a guard against one that never ends.
+GUARD_S = 20.0
 KEYS = {"north": "north-key", "south": "south-key"}
 CLASSES = (
     ("quick", "models", 0, True),
@@ -118,6 +124,35 @@
     return async_refuse
 
 
+async def async_stream_events(
+    agent: FakeAgent, request: web.Request
+) -> web.StreamResponse:
+    """Send one event, wait for go_on, then send the rest."""
+    response = web.StreamResponse(
+        headers={
+            HEADER_OUTCOME: "ran",
+            HEADER_LOAD: agent.load,
+            "Content-Type": "text/event-stream",
+        }
+    )
+    await response.prepare(request)
+    await response.write(b"data: first\n\n")
+    await agent.go_on.wait()
+    await response.write(b"data: last\n\ndata: [DONE]\n\n")
+    return response
+
+
+async def async_wait_then_answer(
+    agent: FakeAgent, request: web.Request
+) -> web.StreamResponse:
+    """Answer with the request's own body after go_on."""
+    await agent.go_on.wait()
+    return web.Response(
+        body=b'{"echo": %s}' % agent.bodies[-1],
+        headers={HEADER_OUTCOME: "ran", HEADER_LOAD: agent.load},
+    )
+
+
 class FakeAgent:
     """Agent on a port of its own with a behaviour for its dispatches."""
 
@@ -132,6 +167,7 @@
         self.behaviour = behaviour
         self.offers: list[dict[str, Any]] = []
         self.bodies: list[bytes] = []
+        self.answered = 0
         self.cancelled: list[str] = []
         self.cancel_seen = Event()
         self.offered = Event()
@@ -147,7 +183,15 @@
         app = web.Application()
         app.router.add_post(PATH_AGENT_DISPATCH, self._async_dispatch)
         app.router.add_post(PATH_AGENT_CANCEL, self._async_cancel)
-        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        # Broken connections are the purpose of many tests.
+        logger = Logger("agent")
+        logger.addHandler(NullHandler())
+        self.runner = web.AppRunner(
+            app,
+            shutdown_timeout=0.1,
+            logger=logger,
+            handler_cancellation=True,
+        )
         await self.runner.setup()
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
         self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
@@ -332,6 +376,15 @@
         return sum(len(agent.offers) for agent in self.agents)
 
 
+async def async_wait_for(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds."""
+    async with timeout(GUARD_S):
+        while True:
+            if condition():
+                return
+            await sleep(0.005)
+
+
 def get_error(body: dict[str, Any]) -> tuple[str, str]:
     """Return code and outcome of an error body."""
     error = body["error"]
--- /dev/null
+++ b/tests/gateway/gateway_process.py
@@ -0,0 +1,29 @@
+"""Gateway process for tests; its one server is at the given address."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+import logging
+import sys
+
+from azurewick.gateway.application import run_components
+from azurewick.gateway.wiring import build_components
+from tests.gateway.builders import create_settings
+from tests.gateway.builders import create_snapshot
+from tests.gateway.builders import FakeAgent
+from tests.gateway.builders import FixedCluster
+
+
+def main(agent_address: str, drain_delay_s: float) -> int:
+    """Run the gateway; the log line with its port goes to stderr."""
+    logging.basicConfig(level=logging.INFO)
+    cluster = FixedCluster(create_snapshot())
+    agent = FakeAgent("agent-1")
+    agent.address = agent_address
+    cluster.servers[agent.name] = agent.server
+    settings = create_settings(drain_delay_s=drain_delay_s)
+    return run_components(replace(build_components(settings), cluster=cluster))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1], float(sys.argv[2])))
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -12,8 +12,8 @@
 from tests.gateway.builders import FakeAgent
 from tests.gateway.builders import GatewayBench
 from tests.gateway.builders import get_error
+from tests.gateway.builders import GUARD_S
 
-GUARD_S = 20.0
 AUTH = "Authorization: Bearer north-key"
 CLASS = "X-Request-Class: quick"
 CHAT = "/v1/chat/completions"
@@ -33,7 +33,7 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-# Name, request, status and error code; None where aiohttp's parser refuses.
+# Name, request, status and error code.
 CASES = (
     ("no key", build_request(CLASS), 401, "unknown_key"),
     (
@@ -168,21 +168,21 @@
     (
         "many headers",
         build_request(AUTH, CLASS, *(f"X-{i}: a" for i in range(200))),
-        400,
-        None,
+        431,
+        "headers_too_large",
     ),
     (
         "header flood in one field",
         build_request(AUTH, CLASS, f"X-A: {'a' * 100_000}"),
-        400,
-        None,
+        431,
+        "headers_too_large",
     ),
-    ("no HTTP", b"\x00\x01\x02\r\n\r\n", 400, None),
+    ("no HTTP", b"\x00\x01\x02\r\n\r\n", 400, "invalid_request"),
     (
         "two lengths",
         build_request(AUTH, CLASS, "Content-Length: 3"),
         400,
-        None,
+        "invalid_request",
     ),
 )
 
@@ -208,9 +208,8 @@
                 with self.subTest(name):
                     answer = await self.async_send(bench, data)
                     self.assertEqual(b"%d" % status, answer[9:12])
-                    if code is not None:
-                        self.assertIn(f'"{code}"'.encode(), answer)
-                        self.assertIn(b'"not_run"', answer)
+                    self.assertIn(f'"{code}"'.encode(), answer)
+                    self.assertIn(b'"not_run"', answer)
             self.assertEqual(0, bench.dispatch_count)
             self.assertEqual((200, 1), await self.async_check(bench))
 
--- a/tests/gateway/test_streaming.py
+++ b/tests/gateway/test_streaming.py
@@ -22,8 +22,7 @@
 from azurewick.gateway.streaming import Usage
 from tests.gateway.builders import FakeAgent
 from tests.gateway.builders import GatewayBench
-
-GUARD_S = 20.0
+from tests.gateway.builders import GUARD_S
 
 
 class EventSplitterTest(TestCase):
