Answer a few requests late instead of raising the floor

Cause: one request of tier 0 whose prompt no server can prefill in time was shed, and its floor stopped all lower tiers of the pool for 5 s. Change: a gateway offers up to 5% of a tier's requests without a deadline before it asks for a floor. Home and second server by rendezvous hashing, with the cached part learned by class; the batch limit averages over 4 s.

--- a/azurewick/admission/batch_limit.py
+++ b/azurewick/admission/batch_limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 # The limit grows only below this part of the target and shrinks above the
@@ -9,8 +10,13 @@
 GROW_BELOW: Final = 0.9
 # Part of the target aimed at after a step was too slow.
 SHRINK_TO: Final = 0.95
-ADJUST_INTERVAL_S: Final = 0.25
-SMOOTHING: Final = 0.1
+# The target is an average over an answer. A single long prefill slows the
+# steps for a second or two and must not shrink the batch.
+TIME_CONSTANT_S: Final = 4.0
+ADJUST_INTERVAL_S: Final = 1.0
+# Largest part by which one adjustment changes the limit.
+MAX_SHRINK: Final = 0.15
+MAX_GROWTH: Final = 0.1
 
 
 class BatchLimit:
@@ -25,6 +31,7 @@
         self._inter_token_s: float | None = None
         self._peak_running = 0
         self._adjusted_s: float | None = None
+        self._recorded_s: float | None = None
 
     @property
     def limit(self) -> int:
@@ -47,9 +54,10 @@
             return
         if self._inter_token_s is None:
             self._inter_token_s = inter_token_s
-        self._inter_token_s += SMOOTHING * (
-            inter_token_s - self._inter_token_s
-        )
+        elapsed_s = now_s - (self._recorded_s or now_s)
+        self._recorded_s = now_s
+        weight = 1.0 - math.exp(-elapsed_s / TIME_CONSTANT_S)
+        self._inter_token_s += weight * (inter_token_s - self._inter_token_s)
         self._peak_running = max(self._peak_running, running)
         if self._adjusted_s is None:
             self._adjusted_s = now_s
@@ -62,13 +70,15 @@
     def _adjust(self, target_s: float | None) -> None:
         measured_s = self._inter_token_s or 0.0
         if target_s is not None and measured_s > target_s:
-            # A batch far below the limit was slow for another reason, and
-            # only the part of the limit that was used counts.
+            # Only the part of the limit that was used slowed the steps.
             used = min(self._limit, float(self._peak_running))
-            wanted = used * SHRINK_TO * target_s / measured_s
-            self._limit = max(float(self._minimum), wanted, self._limit * 0.7)
+            wanted = max(
+                used * SHRINK_TO * target_s / measured_s,
+                self._limit * (1.0 - MAX_SHRINK),
+            )
+            self._limit = max(float(self._minimum), min(self._limit, wanted))
         elif self._peak_running >= self.limit and (
             target_s is None or measured_s < GROW_BELOW * target_s
         ):
-            growth = max(1.0, 0.05 * self._limit)
+            growth = max(1.0, MAX_GROWTH * self._limit)
             self._limit = min(float(self._maximum), self._limit + growth)
--- a/azurewick/admission/retry_budget.py
+++ b/azurewick/admission/retry_budget.py
@@ -11,6 +11,12 @@
 RETRY_ALLOWANCE: Final = 10
 MAX_OFFERS: Final = 3
 
+# Shedding a request of a higher tier stops all lower tiers of the pool for
+# the floor's hold time. A few requests in a window that no server can
+# answer in time are cheaper to answer late.
+LATE_RATIO: Final = 0.05
+LATE_ALLOWANCE: Final = 1
+
 MIN_RETRY_AFTER_S: Final = 1.0
 MAX_RETRY_AFTER_S: Final = 120.0
 
@@ -67,6 +73,14 @@
         return True
 
 
+def build_late_budget() -> RetryBudget:
+    """Return the budget, for one tier, of requests answered late.
+
+    A gateway offers such a request without a deadline.
+    """
+    return RetryBudget(ratio=LATE_RATIO, allowance=LATE_ALLOWANCE)
+
+
 class RetryAfterSpreader:
     """Spread the return times of refused callers.
 
--- a/azurewick/routing/selector.py
+++ b/azurewick/routing/selector.py
@@ -10,6 +10,7 @@
 from azurewick.models import BackendServer
 from azurewick.models import LoadReport
 from azurewick.models import Offer
+from azurewick.routing.affinity import Placement
 from azurewick.routing.affinity import PrefixAffinity
 from azurewick.routing.cost import estimate_cost
 from azurewick.routing.cost import pool_means
@@ -39,7 +40,6 @@
 MAX_PROBE_DELAY_S: Final = 30.0
 # Failures in a row after which a server is avoided like a straggler.
 MAX_FAILURES: Final = 2
-HIT_RATE_SMOOTHING: Final = 0.05
 
 
 class LeastCostRouter:
@@ -54,8 +54,7 @@
         self._servers: dict[str, BackendServer] = {}
         self._estimates: dict[str, ServerEstimate] = {}
         self._affinity = PrefixAffinity()
-        self._expected_hits: dict[str, int] = {}
-        self._hit_rate = 0.5
+        self._placements: dict[str, Placement] = {}
 
     def update_servers(self, servers: Sequence[BackendServer]) -> None:
         """Replace the servers that may be chosen."""
@@ -108,8 +107,7 @@
 
     def expected_cached_tokens(self, offer: Offer, name: str) -> int:
         """Return the prompt tokens that a server's cache probably holds."""
-        tokens = self._affinity.cached_tokens(offer.prefix_hashes, name)
-        return int(min(tokens, offer.prompt_tokens) * self._hit_rate)
+        return self._cached_tokens(offer, self._placement(offer, name))
 
     def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
         """Record that an offer was sent to a server."""
@@ -132,27 +130,39 @@
             prefill_s=cost.prefill_s,
             start_s=cost.first_token_s,
         )
-        known_tokens = self._affinity.cached_tokens(offer.prefix_hashes, name)
-        if known_tokens:
-            self._expected_hits[offer.request_id] = min(
-                known_tokens, offer.prompt_tokens
-            )
-        self._affinity.record(offer.prefix_hashes, name)
+        self._placements[offer.request_id] = self._placement(offer, name)
+        self._affinity.record_sent(
+            offer.request_class, offer.prefix_hashes, name
+        )
 
     def record_result(
         self, offer: Offer, name: str, result: OfferResult, now_s: float
     ) -> None:
         """Record the end of an offer that was sent to a server."""
-        expected_tokens = self._expected_hits.pop(offer.request_id, 0)
+        placement = self._placements.pop(offer.request_id, None)
         estimate = self._estimates.get(name)
         if estimate is None:
             return
         estimate.record_result(offer, result, now_s)
-        if result.status is not OfferStatus.FINISHED:
-            return
-        if expected_tokens > 0:
-            hit = min(1.0, result.cached_tokens / expected_tokens)
-            self._hit_rate += HIT_RATE_SMOOTHING * (hit - self._hit_rate)
+        if (
+            result.status is OfferStatus.FINISHED
+            and placement is not None
+            and result.prompt_tokens > 0
+        ):
+            self._affinity.record_cached(
+                offer.request_class,
+                placement,
+                result.cached_tokens / result.prompt_tokens,
+            )
+
+    def _placement(self, offer: Offer, name: str) -> Placement:
+        return self._affinity.place(
+            offer.request_class, offer.prefix_hashes, self._servers
+        ).get(name, Placement.AWAY)
+
+    def _cached_tokens(self, offer: Offer, placement: Placement) -> int:
+        part = self._affinity.cached_part(offer.request_class, placement)
+        return int(part * offer.prompt_tokens)
 
     def _is_draining(self, name: str) -> bool:
         report = self._estimates[name].report
@@ -200,14 +210,18 @@
     ) -> str:
         wait_s, occupancy, _ = pool_means(self._estimates.values())
         subset = self._random.sample(names, min(SUBSET_SIZE, len(names)))
-        holders = self._affinity.candidates(offer.prefix_hashes, names)
+        holders = self._affinity.place(
+            offer.request_class, offer.prefix_hashes, names
+        )
         candidates = list(dict.fromkeys([*subset, *holders]))
 
         def cost_s(name: str) -> float:
             cost = estimate_cost(
                 self._estimates[name],
                 offer,
-                cached_tokens=self.expected_cached_tokens(offer, name),
+                cached_tokens=self._cached_tokens(
+                    offer, holders.get(name, Placement.AWAY)
+                ),
                 mean_wait_s=wait_s,
                 mean_occupancy=occupancy,
                 now_s=now_s,
--- a/bench/model/gateway.py
+++ b/bench/model/gateway.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from azurewick.admission.floor import FloorRound
+from azurewick.admission.retry_budget import build_late_budget
 from azurewick.admission.retry_budget import MAX_OFFERS
 from azurewick.admission.retry_budget import RetryBudget
 from azurewick.const import ADMISSION_FLOOR_HOLD_S
@@ -38,6 +39,7 @@
     offer: Offer
     offers: int = 0
     sent_s: float = 0.0
+    is_late: bool = False
     excluded: set[str] = field(default_factory=set)
 
 
@@ -67,6 +69,7 @@
         self._trace = trace
         self._lowest_tier = lowest_tier
         self._live = set(agents)
+        self._late = [build_late_budget() for _ in range(lowest_tier)]
         self._rounds: dict[int, FloorRound] = {}
         self._waiting: list[Pending] = []
         self._update_servers()
@@ -91,6 +94,8 @@
         pending = Pending(job=job, offer=offer)
         self.pending[job.request_id] = pending
         self.retries.record_request(self.clock.now_s)
+        if job.tier < self._lowest_tier:
+            self._late[job.tier].record_request(self.clock.now_s)
         self._send(pending)
 
     def record_crash(self, name: str) -> None:
@@ -177,7 +182,7 @@
         if isinstance(self.router, LeastCostRouter):
             pending.offer = replace(
                 pending.offer,
-                budget_s=self._budget_s(pending.job),
+                budget_s=self._budget_s(pending),
                 expected_cached_tokens=self.router.expected_cached_tokens(
                     pending.offer, name
                 ),
@@ -188,9 +193,10 @@
             self._latency_s(agent), self._arrive, pending, agent
         )
 
-    def _budget_s(self, job: Job) -> float | None:
+    def _budget_s(self, pending: Pending) -> float | None:
+        job = pending.job
         budget_s = job.load.request_class.target.start_budget_s
-        if budget_s is None:
+        if budget_s is None or pending.is_late:
             return None
         return budget_s - (self.clock.now_s - job.arrival_s)
 
@@ -212,6 +218,13 @@
         if tier >= self._lowest_tier or self._is_confirmed(tier):
             self._shed(pending)
             return
+        if not pending.is_late and self._late[tier].try_retry(
+            self.clock.now_s
+        ):
+            pending.is_late = True
+            pending.excluded.clear()
+            self._send(pending)
+            return
         self._waiting.append(pending)
         current = self._rounds.get(tier)
         if current is not None and current.is_valid(self.clock.now_s):
