Place prefixes by weighted rendezvous with learned hit rates

Cause: each gateway placed a context by its own memory, so that each context was computed on up to three servers. Change: all gateways agree on a home (weights are powers of two that follow the prefill rates slowly), and the home's cost is reduced by what later requests save.

--- a/azurewick/routing/affinity.py
+++ b/azurewick/routing/affinity.py
@@ -3,15 +3,26 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
 from enum import StrEnum
 from hashlib import blake2b
+import math
+from statistics import median
 from typing import Final
 
 BYTES_PER_TOKEN: Final = 4
 FIRST_PREFIX_BYTES: Final = 512
 MAX_PREFIX_HASHES: Final = 24
-MAX_LOCATIONS: Final = 10_000
+WEIGHT_TOLERANCE: Final = 0.75
+WEIGHT_SMOOTHING: Final = 0.1
+MAX_WEIGHT: Final = 1
+MIN_WEIGHT: Final = -3
+MAX_LOCATIONS: Final = 30_000
+# More than two, for servers that are excluded or suspected.
+HOME_CANDIDATES: Final = 5
 SMOOTHING: Final = 0.05
 # A prefix that this part of a class's requests repeats from the request
 # before belongs to the class and says nothing about the placement.
@@ -49,14 +60,18 @@
     return int(FIRST_PREFIX_BYTES * 2 ** (depth / 2)) // BYTES_PER_TOKEN
 
 
-def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
-    """Return the names in the order of their hashes for a key."""
-    return sorted(
-        names,
-        key=lambda name: blake2b(
-            f"{key}/{name}".encode(), digest_size=8
-        ).digest(),
-    )
+def rendezvous_order(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Return names in their order for a key, by weighted rendezvous.
+
+    A name comes first for a share of the keys that is its weight's share.
+    """
+
+    def score(name: str) -> float:
+        digest = blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
+        uniform = (int.from_bytes(digest) + 1) / (2**64 + 1)
+        return -math.log(uniform) / weights[name]
+
+    return sorted(weights, key=score)
 
 
 class Placement(StrEnum):
@@ -68,14 +83,34 @@
     AWAY = "away"
 
 
-INITIAL_CACHED_PART: Final = {
-    Placement.HOME: 0.5,
-    Placement.SECOND: 0.2,
-    Placement.KNOWN: 0.4,
+INITIAL_HIT_RATE: Final = {
+    Placement.HOME: 0.7,
+    Placement.SECOND: 0.3,
+    Placement.KNOWN: 0.7,
     Placement.AWAY: 0.1,
 }
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PrefixPlan:
+    """Where a prompt's prefix may be cached.
+
+    shared_tokens are on every server; recurring_tokens is the length of the
+    longest prefix that has been seen, and home_tokens the part that is
+    worth keeping on the home server for later requests.
+    """
+
+    key: str
+    shared_tokens: int = 0
+    recurring_tokens: int = 0
+    home_tokens: int = 0
+    placements: Mapping[str, Placement] = field(default_factory=dict)
+
+    def placement(self, name: str) -> Placement:
+        """Return the placement of a server."""
+        return self.placements.get(name, Placement.AWAY)
+
+
 class _ClassPrefixes:
     """What the prompts of one class have in common."""
 
@@ -83,63 +118,118 @@
         self.last: tuple[str, ...] = ()
         # Part of the requests whose prefix was that of the one before.
         self.same: list[float] = [INITIAL_SAME] * MAX_PREFIX_HASHES
-        # Part of the prompt that was found in the cache.
-        self.cached: dict[Placement, float] = {}
+        # Part of the requests whose key had been seen.
+        self.recurrence = 0.5
+        # Part of the recurring prefix that was found in the cache.
+        self.hit_rate = dict(INITIAL_HIT_RATE)
 
-    def record_prompt(self, hashes: tuple[str, ...]) -> None:
+    def record_prompt(self, hashes: tuple[str, ...], is_seen: bool) -> None:
+        self.recurrence += SMOOTHING * (is_seen - self.recurrence)
         for depth, value in enumerate(hashes):
             is_same = depth < len(self.last) and self.last[depth] == value
             self.same[depth] += SMOOTHING * (is_same - self.same[depth])
         self.last = hashes
 
-    def key(self, hashes: tuple[str, ...]) -> str:
+    def key_depth(self, hashes: tuple[str, ...]) -> int:
         """Return the shortest prefix that not all prompts share."""
-        for depth, value in enumerate(hashes):
+        for depth in range(len(hashes)):
             if self.same[depth] < SHARED_PART:
-                return value
-        return hashes[-1]
+                return depth
+        return len(hashes)
 
 
 class PrefixAffinity:
     """Place prompts with a common prefix on the same server.
 
     All gateways agree on a home and a second server by rendezvous hashing.
-    How much of a prompt each of them has in its cache is learned for each
-    class. A bounded memory of this gateway's own choices names other
-    servers that may hold the prefix.
+    How often each of them has the prefix in its cache is learned for each
+    class. A bounded memory of this gateway's own choices tells which
+    prefixes recur, and names another server that may hold one.
     """
 
     def __init__(self, max_locations: int = MAX_LOCATIONS) -> None:
         self._max_locations = max_locations
+        self._weights: dict[str, float] = {}
+        self._ratios: dict[str, float] = {}
+        self._orders: dict[str, list[str]] = {}
         self._classes: dict[str, _ClassPrefixes] = {}
         self._locations: OrderedDict[str, str] = OrderedDict()
 
-    def place(
-        self, request_class: str, hashes: tuple[str, ...], names: Iterable[str]
-    ) -> dict[str, Placement]:
-        """Return the servers that probably hold a prompt's prefix."""
+    def update_servers(self, rates: Mapping[str, float]) -> None:
+        """Replace the servers; a rate is a server's prefill rate.
+
+        A server's weight is a power of two that follows its rate, against
+        the median, slowly: all gateways must agree on the homes, and a home
+        that moves loses its cache.
+        """
+        middle = median(rates.values()) if rates else 1.0
+        weights = {}
+        for name in sorted(rates):
+            ratio = math.log2(max(rates[name], 1e-3) / max(middle, 1e-3))
+            before = self._ratios.get(name, ratio)
+            ratio = before + WEIGHT_SMOOTHING * (ratio - before)
+            self._ratios[name] = ratio
+            weight = self._weights.get(name, 1.0)
+            if abs(ratio - math.log2(weight)) > WEIGHT_TOLERANCE:
+                weight = 2.0 ** min(MAX_WEIGHT, max(MIN_WEIGHT, round(ratio)))
+            weights[name] = weight
+        if weights != self._weights:
+            self._weights = weights
+            self._orders.clear()
+
+    def plan(
+        self,
+        request_class: str,
+        hashes: tuple[str, ...],
+        prompt_tokens: int,
+        allowed: Collection[str],
+    ) -> PrefixPlan | None:
+        """Return where a prompt's prefix may be cached."""
         if not hashes:
-            return {}
-        allowed = sorted(names)
-        key = self._class(request_class).key(hashes)
-        order = rendezvous_order(key, allowed)
-        placements = {}
-        known = self._locations.get(key)
-        if known is not None and known in order:
-            placements[known] = Placement.KNOWN
+            return None
+        prefixes = self._class(request_class)
+        depth = prefixes.key_depth(hashes)
+        shared = min(prompt_tokens, _tokens(depth - 1))
+        if depth == len(hashes):
+            return PrefixPlan(key="", shared_tokens=shared)
+        key = hashes[depth]
+        placements: dict[str, Placement] = {}
+        seen = next(
+            (
+                index
+                for index in range(len(hashes) - 1, depth - 1, -1)
+                if hashes[index] in self._locations
+            ),
+            None,
+        )
+        recurring = shared
+        if seen is not None:
+            recurring = max(shared, min(prompt_tokens, _tokens(seen)))
+            known = self._locations[hashes[seen]]
+            if known in allowed:
+                placements[known] = Placement.KNOWN
+        homes = [name for name in self._order(key) if name in allowed]
         for name, placement in zip(
-            order, (Placement.HOME, Placement.SECOND), strict=False
+            homes, (Placement.HOME, Placement.SECOND), strict=False
         ):
             placements[name] = placement
-        return placements
+        return PrefixPlan(
+            key=key,
+            shared_tokens=shared,
+            recurring_tokens=recurring,
+            home_tokens=int((prompt_tokens - shared) * prefixes.recurrence),
+            placements=placements,
+        )
 
-    def cached_part(self, request_class: str, placement: Placement) -> float:
-        """Return the part of a class's prompts that a server holds."""
-        cached = self._class(request_class).cached
-        away = cached.get(Placement.AWAY, INITIAL_CACHED_PART[Placement.AWAY])
-        # No server holds less than one without any relation to the prompt;
-        # a placement that is seldom chosen learns slowly.
-        return max(away, cached.get(placement, INITIAL_CACHED_PART[placement]))
+    def cached_tokens(
+        self, request_class: str, plan: PrefixPlan | None, name: str
+    ) -> int:
+        """Return the prompt tokens that a server's cache probably holds."""
+        if plan is None:
+            return 0
+        rate = self._class(request_class).hit_rate[plan.placement(name)]
+        recurring = plan.recurring_tokens - plan.shared_tokens
+        return plan.shared_tokens + int(rate * recurring)
 
     def record_sent(
         self, request_class: str, hashes: tuple[str, ...], name: str
@@ -148,21 +238,32 @@
         if not hashes:
             return
         prefixes = self._class(request_class)
-        prefixes.record_prompt(hashes)
-        key = prefixes.key(hashes)
-        self._locations[key] = name
-        self._locations.move_to_end(key)
-        if len(self._locations) > self._max_locations:
+        depth = prefixes.key_depth(hashes)
+        is_seen = depth < len(hashes) and hashes[depth] in self._locations
+        prefixes.record_prompt(hashes, is_seen)
+        for value in hashes[depth:]:
+            self._locations[value] = name
+            self._locations.move_to_end(value)
+        while len(self._locations) > self._max_locations:
             self._locations.popitem(last=False)
 
     def record_cached(
-        self, request_class: str, placement: Placement, part: float
+        self,
+        request_class: str,
+        plan: PrefixPlan | None,
+        name: str,
+        cached_tokens: int,
     ) -> None:
-        """Record the part of a prompt that the server's cache held."""
-        before = self.cached_part(request_class, placement)
-        self._class(request_class).cached[placement] = before + SMOOTHING * (
-            part - before
+        """Record the prompt tokens that the server's cache held."""
+        if plan is None or plan.recurring_tokens <= plan.shared_tokens:
+            return
+        hit = (cached_tokens - plan.shared_tokens) / (
+            plan.recurring_tokens - plan.shared_tokens
         )
+        rates = self._class(request_class).hit_rate
+        placement = plan.placement(name)
+        hit = min(1.0, max(0.0, hit))
+        rates[placement] += SMOOTHING * (hit - rates[placement])
 
     def forget_server(self, name: str) -> None:
         """Forget the prefixes of a server that lost its cache."""
@@ -171,3 +272,17 @@
 
     def _class(self, name: str) -> _ClassPrefixes:
         return self._classes.setdefault(name, _ClassPrefixes())
+
+    def _order(self, key: str) -> list[str]:
+        order = self._orders.get(key)
+        if order is None:
+            if len(self._orders) > self._max_locations:
+                self._orders.clear()
+            order = rendezvous_order(key, self._weights)[:HOME_CANDIDATES]
+            self._orders[key] = order
+        return order
+
+
+def _tokens(depth: int) -> int:
+    """Return the mean length of prefixes that end between two depths."""
+    return int(prefix_tokens(depth) * 1.2) if depth >= 0 else 0
--- a/azurewick/routing/selector.py
+++ b/azurewick/routing/selector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Sequence
 import random
 from statistics import median
@@ -12,6 +13,7 @@
 from azurewick.models import Offer
 from azurewick.routing.affinity import Placement
 from azurewick.routing.affinity import PrefixAffinity
+from azurewick.routing.affinity import PrefixPlan
 from azurewick.routing.cost import estimate_cost
 from azurewick.routing.cost import pool_means
 from azurewick.routing.cost import SentOffer
@@ -24,10 +26,13 @@
 # choose the same server.
 SUBSET_SIZE: Final = 4
 # A prompt's prefill delays the request itself and those after it.
-PREFILL_WEIGHT: Final = 2.0
+PREFILL_WEIGHT: Final = 3.0
+# A prefix computed at its home serves the later requests of all gateways.
+HOME_WEIGHT: Final = 2.0
+WEIGHTS_INTERVAL_S: Final = 2.0
 # Part of the decode time that counts: it keeps a server's time occupied,
 # but later requests wait for it only in part.
-DECODE_WEIGHT: Final = 0.3
+DECODE_WEIGHT: Final = 0.1
 REMOTE_DOMAIN_S: Final = 0.002
 # Round trip between the regions, and the price of the link: 15 Mbit/s is
 # shared by all traffic, so each byte is counted at a tenth of the link.
@@ -54,7 +59,8 @@
         self._servers: dict[str, BackendServer] = {}
         self._estimates: dict[str, ServerEstimate] = {}
         self._affinity = PrefixAffinity()
-        self._placements: dict[str, Placement] = {}
+        self._weights_due_s = 0.0
+        self._plans: dict[str, PrefixPlan | None] = {}
 
     def update_servers(self, servers: Sequence[BackendServer]) -> None:
         """Replace the servers that may be chosen."""
@@ -66,6 +72,7 @@
             name: self._estimates.get(name) or ServerEstimate()
             for name in self._servers
         }
+        self._update_weights()
 
     def record_report(self, report: LoadReport, now_s: float) -> None:
         """Record a load report that arrived at now_s."""
@@ -73,12 +80,13 @@
         if estimate is None:
             return
         before = estimate.report
-        if (
-            estimate.record_report(report, now_s)
-            and before is not None
-            and before.incarnation != report.incarnation
-        ):
+        if not estimate.record_report(report, now_s):
+            return
+        if before is not None and before.incarnation != report.incarnation:
             self._affinity.forget_server(report.backend_server)
+        if now_s >= self._weights_due_s:
+            self._weights_due_s = now_s + WEIGHTS_INTERVAL_S
+            self._update_weights()
 
     def choose(
         self,
@@ -107,7 +115,9 @@
 
     def expected_cached_tokens(self, offer: Offer, name: str) -> int:
         """Return the prompt tokens that a server's cache probably holds."""
-        return self._cached_tokens(offer, self._placement(offer, name))
+        return self._affinity.cached_tokens(
+            offer.request_class, self._plan(offer, self._servers), name
+        )
 
     def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
         """Record that an offer was sent to a server."""
@@ -130,7 +140,7 @@
             prefill_s=cost.prefill_s,
             start_s=cost.first_token_s,
         )
-        self._placements[offer.request_id] = self._placement(offer, name)
+        self._plans[offer.request_id] = self._plan(offer, self._servers)
         self._affinity.record_sent(
             offer.request_class, offer.prefix_hashes, name
         )
@@ -139,30 +149,31 @@
         self, offer: Offer, name: str, result: OfferResult, now_s: float
     ) -> None:
         """Record the end of an offer that was sent to a server."""
-        placement = self._placements.pop(offer.request_id, None)
+        plan = self._plans.pop(offer.request_id, None)
         estimate = self._estimates.get(name)
         if estimate is None:
             return
         estimate.record_result(offer, result, now_s)
-        if (
-            result.status is OfferStatus.FINISHED
-            and placement is not None
-            and result.prompt_tokens > 0
-        ):
+        if result.status is OfferStatus.FINISHED:
             self._affinity.record_cached(
-                offer.request_class,
-                placement,
-                result.cached_tokens / result.prompt_tokens,
+                offer.request_class, plan, name, result.cached_tokens
             )
 
-    def _placement(self, offer: Offer, name: str) -> Placement:
-        return self._affinity.place(
-            offer.request_class, offer.prefix_hashes, self._servers
-        ).get(name, Placement.AWAY)
+    def _update_weights(self) -> None:
+        self._affinity.update_servers(
+            {
+                name: estimate.prefill_tokens_per_s
+                for name, estimate in self._estimates.items()
+            }
+        )
 
-    def _cached_tokens(self, offer: Offer, placement: Placement) -> int:
-        part = self._affinity.cached_part(offer.request_class, placement)
-        return int(part * offer.prompt_tokens)
+    def _plan(self, offer: Offer, names: Collection[str]) -> PrefixPlan | None:
+        return self._affinity.plan(
+            offer.request_class,
+            offer.prefix_hashes,
+            offer.prompt_tokens,
+            names,
+        )
 
     def _is_draining(self, name: str) -> bool:
         report = self._estimates[name].report
@@ -210,29 +221,33 @@
     ) -> str:
         wait_s, occupancy, _ = pool_means(self._estimates.values())
         subset = self._random.sample(names, min(SUBSET_SIZE, len(names)))
-        holders = self._affinity.place(
-            offer.request_class, offer.prefix_hashes, names
-        )
+        plan = self._plan(offer, names)
+        holders = plan.placements if plan is not None else {}
         candidates = list(dict.fromkeys([*subset, *holders]))
 
         def cost_s(name: str) -> float:
+            estimate = self._estimates[name]
             cost = estimate_cost(
-                self._estimates[name],
+                estimate,
                 offer,
-                cached_tokens=self._cached_tokens(
-                    offer, holders.get(name, Placement.AWAY)
+                cached_tokens=self._affinity.cached_tokens(
+                    offer.request_class, plan, name
                 ),
                 mean_wait_s=wait_s,
                 mean_occupancy=occupancy,
                 now_s=now_s,
             )
-            return (
+            total_s = (
                 cost.wait_s
                 + PREFILL_WEIGHT * cost.prefill_s
                 + DECODE_WEIGHT * cost.decode_s
                 + cost.doubt_s
                 + self._distance_s(name, offer)
             )
+            if plan and plan.placement(name) is Placement.HOME:
+                saved_s = plan.home_tokens / estimate.prefill_tokens_per_s
+                total_s -= HOME_WEIGHT * saved_s
+            return total_s
 
         return min(candidates, key=cost_s)
 
--- a/bench/model/engine.py
+++ b/bench/model/engine.py
@@ -39,7 +39,13 @@
 
 
 FAST = EngineSpeed(prefill_tokens_per_s=9000.0, base_s=0.015, slope_s=0.0006)
-SLOW = EngineSpeed(prefill_tokens_per_s=4500.0, base_s=0.024, slope_s=0.0011)
+# The chunks keep the steps of a half full batch within 79 ms.
+SLOW = EngineSpeed(
+    prefill_tokens_per_s=4500.0,
+    base_s=0.024,
+    slope_s=0.0011,
+    chunk_tokens=128,
+)
 
 
 class EngineListener(Protocol):
--- a/bench/model/gateway.py
+++ b/bench/model/gateway.py
@@ -238,7 +238,7 @@
             ),
         )
         self._rounds[tier] = floor
-        for name in floor.pending():
+        for name in sorted(floor.pending()):
             self.floor_messages += 1
             self.clock.call_later(
                 self._latency_s(self.agents[name]),
