--- a/azurewick/agent/agent.py
+++ b/azurewick/agent/agent.py
@@ -10,6 +10,7 @@
 
 from aiohttp import ClientError
 
+from azurewick.admission.dispatch_window import DispatchWindow
 from azurewick.agent.backend import BackendClient
 from azurewick.agent.dispatcher import Dispatcher
 from azurewick.agent.health import BackendHealth
@@ -22,12 +23,13 @@
 from azurewick.agent.ledger import DispatchLedger
 from azurewick.agent.metrics import AgentMetrics
 from azurewick.agent.orders import AgentOrder
-from azurewick.agent.rates import LearnedRates
+from azurewick.agent.rates import ServerRates
 from azurewick.errors import AzurewickError
 from azurewick.errors import Outcome
 from azurewick.helpers.clock import monotonic_s
 from azurewick.models import LoadReport
 from azurewick.models import Offer
+from azurewick.models import PoolKind
 from azurewick.settings.models import AgentSettings
 
 _LOGGER = getLogger(__name__)
@@ -43,6 +45,7 @@
         queue: RequestQueue,
         floor: Floor,
         limit: ConcurrencyLimit,
+        window: DispatchWindow | None = None,
         crashes: CrashListener | None = None,
         clock: Callable[[], float] = monotonic_s,
     ) -> None:
@@ -62,8 +65,10 @@
             floor=floor,
             limit=limit,
             ledger=DispatchLedger(),
-            rates=LearnedRates(),
+            rates=ServerRates(),
             clock=clock,
+            window=window or DispatchWindow(),
+            is_model=PoolKind(settings.kind) is PoolKind.MODEL,
         )
         self.api = DispatchApi(
             self.dispatcher, self.backend, self, self.report, clock
@@ -81,7 +86,9 @@
             queued_work_s=dispatcher.queued_work_s,
             batch_limit=dispatcher.limit.limit,
             prefill_tokens_per_s=dispatcher.rates.prefill_tokens_per_s,
-            decode_tokens_per_s=dispatcher.rates.decode_tokens_per_s,
+            decode_tokens_per_s=dispatcher.rates.decode_tokens_per_s(
+                dispatcher.limit.limit
+            ),
             floor_tier=dispatcher.floor.current(self._clock()),
             draining=dispatcher.state.draining,
         )
--- a/azurewick/agent/application.py
+++ b/azurewick/agent/application.py
@@ -23,6 +23,7 @@
 import uvloop
 
 from azurewick.admission.batch_limit import BatchLimit
+from azurewick.admission.dispatch_window import DispatchWindow
 from azurewick.admission.floor import AdmissionFloor
 from azurewick.admission.tier_queue import TierQueue
 from azurewick.agent.agent import Agent
@@ -35,6 +36,7 @@
 from azurewick.const import PROBE_INTERVAL_S
 from azurewick.helpers.clock import monotonic_s
 from azurewick.membership.coordinator import ClusterState
+from azurewick.models import PoolKind
 from azurewick.platform.client import ObjectApiClient
 from azurewick.platform.protocols import ObjectStore
 from azurewick.settings.models import AgentSettings
@@ -134,7 +136,7 @@
 class TickService(PeriodicService):
     """Lets time act on the queue and the floor."""
 
-    __required__ = ("agent", "link")
+    __required__ = ("agent", "link")  # type: ignore[assignment]
     agent: Agent
     link: ClusterLink
 
@@ -217,6 +219,22 @@
     return EXIT_DRAIN_TIMED_OUT
 
 
+def build_limit(settings: AgentSettings) -> BatchLimit:
+    """Return the concurrency limit; only a model engine's is learned."""
+    is_model = PoolKind(settings.kind) is PoolKind.MODEL
+    return BatchLimit(
+        initial=settings.initial_batch if is_model else settings.max_batch,
+        maximum=settings.max_batch,
+    )
+
+
+def build_window(settings: AgentSettings) -> DispatchWindow:
+    """Return the dispatch window; a plain service has no prefill."""
+    if PoolKind(settings.kind) is PoolKind.MODEL:
+        return DispatchWindow()
+    return DispatchWindow(max_prefills=settings.max_batch)
+
+
 def run_agent(settings: AgentSettings) -> int:
     """Run the agent until it is stopped and return the exit code.
 
@@ -237,9 +255,8 @@
         settings,
         queue=TierQueue(settings.max_queue),
         floor=AdmissionFloor(),
-        limit=BatchLimit(
-            initial=settings.initial_batch, maximum=settings.max_batch
-        ),
+        limit=build_limit(settings),
+        window=build_window(settings),
         crashes=CrashReporter(cluster),
     )
     link = ClusterLink(agent=agent, cluster=cluster, store=store)
--- a/azurewick/agent/dispatcher.py
+++ b/azurewick/agent/dispatcher.py
@@ -11,13 +11,14 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from azurewick.admission.dispatch_window import DispatchWindow
 from azurewick.admission.models import QueuedRequest
 from azurewick.agent.interfaces import ConcurrencyLimit
 from azurewick.agent.interfaces import Floor
 from azurewick.agent.interfaces import RequestQueue
 from azurewick.agent.ledger import DispatchLedger
 from azurewick.agent.ledger import LedgerState
-from azurewick.agent.rates import LearnedRates
+from azurewick.agent.rates import ServerRates
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Outcome
@@ -66,17 +67,35 @@
     floor: Floor
     limit: ConcurrencyLimit
     ledger: DispatchLedger
-    rates: LearnedRates
+    rates: ServerRates
     clock: Callable[[], float]
+    window: DispatchWindow = field(default_factory=DispatchWindow)
+    is_model: bool = True
     state: DispatcherState = field(default_factory=DispatcherState)
     _waiters: dict[str, _Waiter] = field(default_factory=dict)
     _running: dict[str, Slot] = field(default_factory=dict)
+    _prefilling: dict[str, TimerHandle] = field(default_factory=dict)
 
     @property
     def running(self) -> int:
         """Return how many requests run at the backend server."""
         return len(self._running)
 
+    @property
+    def decoding(self) -> int:
+        """Return how many requests have their first token."""
+        return len(self._running) - len(self._prefilling)
+
+    @property
+    def inter_token_target_s(self) -> float | None:
+        """Return the tightest target between tokens of what runs."""
+        targets = [
+            slot.offer.inter_token_s
+            for slot in self._running.values()
+            if slot.offer.inter_token_s is not None
+        ]
+        return min(targets, default=None)
+
     @property
     def queued(self) -> int:
         """Return how many requests wait."""
@@ -135,11 +154,17 @@
         """Give a slot back after the run."""
         request_id = slot.offer.request_id
         slot.sent.set()
+        self._end_prefill(request_id)
         if self._running.pop(request_id, None) is None:
             return
         self.ledger.finish(request_id, ran=slot.ran, now_s=self.clock())
         self.pump()
 
+    def record_first_token(self, slot: Slot) -> None:
+        """Let the next request start its prefill."""
+        self._end_prefill(slot.offer.request_id)
+        self.pump()
+
     def undo(self, slot: Slot) -> None:
         """Give a slot back of which surely no byte was written."""
         self.ledger.undo_dispatch(slot.offer.request_id)
@@ -204,7 +229,9 @@
     def pump(self) -> None:
         """Dispatch as many queued requests as the limit allows."""
         now_s = self.clock()
-        while self._waiters and self.running < self.limit.limit:
+        while self._waiters and self.window.is_open(
+            self.running, len(self._prefilling), self.limit.limit
+        ):
             taken = self.queue.take(self.floor.current(now_s), now_s)
             for item in taken.expired:
                 self._refuse(item.request_id, self._expired())
@@ -216,12 +243,12 @@
         deadline_s = None
         if offer.budget_s is not None:
             deadline_s = now_s + offer.budget_s
-        work_s = self.rates.expected_work_s(
-            offer.prompt_tokens, offer.expected_output_tokens
+        limit = max(1, self.limit.limit)
+        target_s = self.rates.expected_duration_s(
+            offer, limit, is_model=self.is_model
         )
-        target_s = work_s
-        if not offer.is_completion_budget:
-            target_s = self.rates.expected_prefill_s(offer.prompt_tokens)
+        if self.is_model and not offer.is_completion_budget:
+            target_s = self.rates.expected_prefill_s(offer)
         item = QueuedRequest(
             request_id=offer.request_id,
             customer=offer.customer,
@@ -229,7 +256,9 @@
             tier=offer.tier,
             deadline_s=deadline_s,
             target_s=target_s,
-            cost_s=work_s / max(1, self.limit.limit),
+            cost_s=self.rates.expected_cost_s(
+                offer, limit, is_model=self.is_model
+            ),
         )
         decision = self.queue.offer(item, now_s)
         if not decision.accepted:
@@ -255,8 +284,26 @@
         self.ledger.dispatch(request_id)
         slot = Slot(offer=waiter.offer)
         self._running[request_id] = slot
+        if self.is_model:
+            self._start_prefill(slot)
         waiter.granted.set_result(slot)
 
+    def _start_prefill(self, slot: Slot) -> None:
+        # An answer that is not streamed doesn't show its first token, so
+        # the expected time ends its prefill.
+        self._prefilling[slot.offer.request_id] = (
+            get_running_loop().call_later(
+                self.rates.expected_prefill_s(slot.offer),
+                self.record_first_token,
+                slot,
+            )
+        )
+
+    def _end_prefill(self, request_id: str) -> None:
+        timer = self._prefilling.pop(request_id, None)
+        if timer is not None:
+            timer.cancel()
+
     def _abandon(self, waiter: _Waiter) -> None:
         request_id = waiter.offer.request_id
         if self._waiters.get(request_id) is waiter:
--- a/azurewick/agent/http_api.py
+++ b/azurewick/agent/http_api.py
@@ -28,8 +28,10 @@
 from azurewick.agent.dispatcher import Slot
 from azurewick.agent.offer import parse_cancel
 from azurewick.agent.offer import parse_offer
-from azurewick.agent.rates import parse_usage
-from azurewick.agent.rates import TAIL_BYTES
+from azurewick.agent.rates import AnswerTiming
+from azurewick.agent.usage import parse_usage
+from azurewick.agent.usage import TAIL_BYTES
+from azurewick.const import CONTENT_TYPE_EVENTS
 from azurewick.const import HEADER_LOAD
 from azurewick.const import HEADER_OFFER
 from azurewick.const import HEADER_OUTCOME
@@ -241,6 +243,7 @@
             async for chunk in _async_chunks(slot.offer, response):
                 if first_s is None:
                     first_s = self._clock()
+                    self._dispatcher.record_first_token(slot)
                 tail = (tail + chunk)[-TAIL_BYTES:]
                 # The client stops reading from the backend server while
                 # this waits for the reader.
@@ -255,7 +258,16 @@
             self._monitor.record_outcome(slot.offer.tier, "reader_lost")
             _abort(request)
         else:
-            self._record_finished(slot, tail, start_s, first_s)
+            self._record_finished(
+                slot,
+                tail,
+                AnswerTiming(
+                    is_streamed=response.content_type == CONTENT_TYPE_EVENTS,
+                    first_byte_s=(first_s or start_s) - start_s,
+                    duration_s=self._clock() - start_s,
+                    decoding=self._dispatcher.decoding,
+                ),
+            )
         return stream
 
     def _build_stream(
@@ -273,22 +285,23 @@
         return stream
 
     def _record_finished(
-        self, slot: Slot, tail: bytes, start_s: float, first_s: float | None
+        self, slot: Slot, tail: bytes, timing: AnswerTiming
     ) -> None:
         self._monitor.record_outcome(slot.offer.tier, "finished")
+        dispatcher = self._dispatcher
+        if not dispatcher.is_model:
+            dispatcher.rates.record_service_duration(timing.duration_s)
+            return
         usage = parse_usage(tail)
-        if usage is None or first_s is None:
+        if usage is None:
             return
         now_s = self._clock()
-        dispatcher = self._dispatcher
-        dispatcher.rates.record_answer(
-            usage, first_s - start_s, now_s - start_s
-        )
-        if usage.output_tokens > 1:
+        inter_token_s = dispatcher.rates.record_answer(usage, timing, now_s)
+        if inter_token_s is not None:
             dispatcher.limit.record_step(
                 dispatcher.running,
-                (now_s - first_s) / (usage.output_tokens - 1),
-                slot.offer.inter_token_s,
+                inter_token_s,
+                dispatcher.inter_token_target_s,
                 now_s,
             )
 
--- a/azurewick/agent/offer.py
+++ b/azurewick/agent/offer.py
@@ -55,6 +55,7 @@
     inter_token_s: float | None = Field(default=None, gt=0, le=1e6)
     prompt_tokens: Tokens = 0
     expected_output_tokens: Tokens = 0
+    expected_cached_tokens: Tokens = 0
     repeatable: bool = True
     fingerprint: Label = ""
     claim_key: Label = ""
--- a/azurewick/cli/config.py
+++ b/azurewick/cli/config.py
@@ -21,6 +21,8 @@
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
+from azurewick.helpers.clock import monotonic_s
+from azurewick.platform.protocols import StoredObject
 
 DEFAULT_WAIT_TIMEOUT_S = 30.0
 
@@ -32,11 +34,8 @@
     command: CommandContext,
 ) -> AsyncIterator[ConfigurationCoordinator]:
     """Open the configuration in the store for one command."""
-    settings = command.load_settings()
     async with command.async_open_store() as store:
-        yield ConfigurationCoordinator(
-            store, control_addresses=settings.control_addresses
-        )
+        yield ConfigurationCoordinator(store, monotonic_s)
 
 
 @app.command("get")
@@ -51,7 +50,7 @@
 
 async def _async_get_configuration(command: CommandContext) -> None:
     async with async_open_coordinator(command) as coordinator:
-        current = await coordinator.async_get()
+        current = await async_read_current(coordinator)
     typer.echo(_format_spec(current.spec))
     command.print_progress(f"revision {current.version}")
 
@@ -74,7 +73,7 @@
 ) -> None:
     spec = read_spec(file)
     async with async_open_coordinator(command) as coordinator:
-        current = await coordinator.async_get()
+        current = await async_read_current(coordinator)
     for line in unified_diff(
         _format_spec(current.spec).splitlines(),
         _format_spec(spec).splitlines(),
@@ -116,47 +115,57 @@
     spec = read_spec(file)
     async with async_open_coordinator(command) as coordinator:
         if revision is None:
-            revision = await _async_read_revision(coordinator)
+            current = await coordinator.async_get()
+            revision = current.version if current is not None else 0
         await async_apply(command, coordinator, spec, revision, wait)
 
 
-async def _async_read_revision(
+async def async_read_current(
     coordinator: ConfigurationCoordinator,
-) -> int | None:
-    try:
-        return (await coordinator.async_get()).version
-    except AzurewickError as err:
-        if err.code is ErrorCode.STORE_NOT_FOUND:
-            return None
-        raise
+) -> StoredObject:
+    """Return the stored configuration.
+
+    Raises AzurewickError with code store_not_found before the first one.
+    """
+    current = await coordinator.async_get()
+    if current is None:
+        raise AzurewickError(
+            ErrorCode.STORE_NOT_FOUND,
+            "the store has no configuration yet; apply the first one with"
+            " 'config apply'",
+            step=Step.CONFIGURE,
+        )
+    return current
 
 
 async def async_apply(
     command: CommandContext,
     coordinator: ConfigurationCoordinator,
     spec: dict[str, Any],
-    revision: int | None,
+    revision: int,
     wait: bool,
 ) -> None:
     """Apply a configuration made from a revision and report it."""
     accepted = await coordinator.async_apply(spec, revision, str(uuid4()))
     if not wait:
         command.print_message(
-            f"accepted as revision {accepted.version}",
-            revision=accepted.version,
+            f"accepted as revision {accepted.revision}",
+            revision=accepted.revision,
         )
         return
     report = await coordinator.async_wait_in_force(
-        accepted.version, timeout_s=DEFAULT_WAIT_TIMEOUT_S
+        accepted.revision, timeout_s=DEFAULT_WAIT_TIMEOUT_S
     )
+    missing = [*report.behind, *report.unreachable]
     command.print_message(
-        f"revision {accepted.version} is in force at"
-        f" {report.in_force} of {report.total} processes",
-        revision=accepted.version,
+        f"revision {accepted.revision} is in force at {report.in_force}"
+        f" gateways; not at {', '.join(missing) or 'none'}",
+        revision=accepted.revision,
         in_force=report.in_force,
-        total=report.total,
+        behind=report.behind,
+        unreachable=report.unreachable,
     )
-    if report.in_force < report.total or not report.total:
+    if not report.is_complete:
         raise typer.Exit(ExitCode.WAIT_EXPIRED)
 
 
--- a/azurewick/cli/status.py
+++ b/azurewick/cli/status.py
@@ -46,13 +46,14 @@
             continue
         gateways.append(
             {
-                "gateway": status["name"],
+                "gateway": status["gateway"],
                 "state": "ready" if status["ready"] else "not ready",
                 "configuration_revision": status["configuration_revision"],
             }
         )
-        for server in status["backend_servers"]:
-            servers.setdefault(server["name"], server)
+        for pool, described in status["pools"].items():
+            for server in described["servers"]:
+                servers.setdefault(server["name"], _describe(pool, server))
     command.print_rows("Gateways", gateways)
     command.print_rows("Backend servers", list(servers.values()))
     if all(status is None for status in answers):
@@ -64,6 +65,21 @@
         )
 
 
+def _describe(pool: str, server: Row) -> Row:
+    load = server["load"] or {}
+    return {
+        "name": server["name"],
+        "pool": pool,
+        "version": server["version"],
+        "failure_domain": server["failure_domain"],
+        "state": server["state"],
+        "running": load.get("running"),
+        "queued": load.get("queued"),
+        "batch_limit": load.get("batch_limit"),
+        "floor_tier": load.get("floor_tier"),
+    }
+
+
 async def _async_read_status(session: ClientSession, url: str) -> Row | None:
     try:
         async with session.get(url + PATH_STATUS) as response:
--- a/azurewick/cli/target.py
+++ b/azurewick/cli/target.py
@@ -9,6 +9,7 @@
 
 from azurewick.cli.config import async_apply
 from azurewick.cli.config import async_open_coordinator
+from azurewick.cli.config import async_read_current
 from azurewick.cli.context import CommandContext
 from azurewick.cli.context import get_context
 from azurewick.cli.context import run_command
@@ -31,7 +32,7 @@
 
 async def _async_list_targets(command: CommandContext) -> None:
     async with async_open_coordinator(command) as coordinator:
-        current = await coordinator.async_get()
+        current = await async_read_current(coordinator)
     rows = [
         {
             "class": item["name"],
@@ -67,12 +68,12 @@
     Example: azurewick target set quick-answer --first-token-s 1.5 --wait
     """
     command = get_context(context)
-    changes = {
+    options = {
         "first_token_s": first_token_s,
         "inter_token_s": inter_token_s,
         "completion_s": completion_s,
     }
-    changes = {name: v for name, v in changes.items() if v is not None}
+    changes = {name: v for name, v in options.items() if v is not None}
     run_command(
         lambda: _async_set_target(command, request_class, changes, wait)
     )
@@ -92,7 +93,7 @@
             step=Step.CONFIGURE,
         )
     async with async_open_coordinator(command) as coordinator:
-        current = await coordinator.async_get()
+        current = await async_read_current(coordinator)
         spec = replace_target(current.spec, request_class, changes)
         await async_apply(command, coordinator, spec, current.version, wait)
 
--- a/azurewick/configuration/models.py
+++ b/azurewick/configuration/models.py
@@ -48,6 +48,10 @@
     tier: int = Field(ge=HIGHEST_TIER, le=LOWEST_TIER)
     target: TargetModel = TargetModel()
     repeatable: bool = True
+    version: Name | None = Field(
+        default=None,
+        description="version that serves the class before its first move",
+    )
 
 
 class CustomerModel(ConfigurationModel):
--- a/azurewick/configuration/snapshot.py
+++ b/azurewick/configuration/snapshot.py
@@ -76,6 +76,7 @@
         tier=model.tier,
         target=ClassTarget(**model.target.model_dump()),
         repeatable=model.repeatable,
+        version=model.version,
     )
 
 
--- a/azurewick/const.py
+++ b/azurewick/const.py
@@ -13,6 +13,8 @@
 HEADER_REQUEST_ID: Final = "X-Request-Id"
 HEADER_RETRY_AFTER: Final = "Retry-After"
 
+CONTENT_TYPE_EVENTS: Final = "text/event-stream"
+
 PATH_AGENT_CANCEL: Final = "/v1/cancel"
 PATH_AGENT_DISPATCH: Final = "/v1/dispatch"
 PATH_CHAT_COMPLETIONS: Final = "/v1/chat/completions"
--- a/azurewick/control/conversion.py
+++ b/azurewick/control/conversion.py
@@ -73,6 +73,9 @@
                 requests=one.requests,
                 failures=one.failures,
                 slow=one.slow,
+                broken=one.broken,
+                crashes=one.crashes,
+                backend_server=one.backend_server,
             )
             for one in part.evidence
         ],
@@ -125,6 +128,9 @@
                 requests=one.requests,
                 failures=one.failures,
                 slow=one.slow,
+                broken=one.broken,
+                crashes=one.crashes,
+                backend_server=one.backend_server,
             )
             for one in digest.evidence
         ),
--- a/azurewick/control/digest.py
+++ b/azurewick/control/digest.py
@@ -87,6 +87,7 @@
                 count.request_class,
                 count.version,
                 count.route,
+                count.backend_server,
             )
             self._put(key, count, now_s, source, now_s)
         for cut in part.cuts:
@@ -263,6 +264,8 @@
             requests=max(old.requests, value.requests),
             failures=max(old.failures, value.failures),
             slow=max(old.slow, value.slow),
+            broken=max(old.broken, value.broken),
+            crashes=max(old.crashes, value.crashes),
         )
         return merged, max(entry.time_s, time_s)
     if entry.kind is EntryKind.CUT:
--- a/azurewick/control/models.py
+++ b/azurewick/control/models.py
@@ -20,6 +20,9 @@
     requests: int = 0
     failures: int = 0
     slow: int = 0
+    broken: int = 0
+    crashes: int = 0
+    backend_server: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/azurewick/gateway/composition.py
+++ b/azurewick/gateway/composition.py
@@ -3,25 +3,27 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from math import inf
 
 from xxhash import xxh64_intdigest
 
 from azurewick.admission.customer_limit import CustomerLimiter
 from azurewick.admission.floor import FloorRound
 from azurewick.admission.retry_budget import RetryBudget
+from azurewick.claims.coordinator import ClaimCoordinator
 from azurewick.const import HIGHEST_TIER
 from azurewick.gateway.agent_client import AgentClient
 from azurewick.gateway.metrics import GatewayMetrics
+from azurewick.gateway.rollouts import RolloutService
 from azurewick.gateway.shedding import FloorConfirmer
 from azurewick.gateway.shedding import GrpcFloorClient
-from azurewick.gateway.wiring import AnyVersion
 from azurewick.gateway.wiring import BackgroundTasks
 from azurewick.gateway.wiring import GatewayComponents
-from azurewick.gateway.wiring import RefusingClaims
 from azurewick.helpers.clock import monotonic_s
 from azurewick.membership.coordinator import ClusterState
 from azurewick.platform.client import ObjectApiClient
 from azurewick.poison.detector import PoisonDetector
+from azurewick.rollout.decisions import VersionSelector
 from azurewick.routing.affinity import prefix_hashes
 from azurewick.routing.estimator import OutputLengthPredictor
 from azurewick.routing.selector import LeastCostRouter
@@ -38,6 +40,11 @@
         clock=monotonic_s,
     )
     cluster = ClusterState(settings, store, monotonic_s)
+    incarnation = cluster.incarnation
+    poison = PoisonDetector()
+    versions = VersionSelector(
+        settings.name, incarnation, is_suspect=poison.is_suspect
+    )
     return GatewayComponents(
         settings=settings,
         cluster=cluster,
@@ -45,10 +52,10 @@
         floor=FloorConfirmer(
             cluster, GrpcFloorClient(settings.name), build_floor_round
         ),
-        claims=RefusingClaims(),
+        claims=ClaimCoordinator(store, f"{settings.name}/{incarnation}"),
         limiter=CustomerLimiter(),
-        poison=PoisonDetector(),
-        versions=AnyVersion(),
+        poison=poison,
+        versions=versions,
         predictor=OutputLengthPredictor(),
         metrics=GatewayMetrics(),
         background=BackgroundTasks(),
@@ -59,7 +66,10 @@
         ),
         create_retry_budget=RetryBudget,
         hash_prefix=prefix_hashes,
-        services=(StoreConnection(store),),
+        services=(
+            StoreConnection(store),
+            RolloutService(cluster, store, versions, poison, settings.name),
+        ),
     )
 
 
@@ -78,5 +88,10 @@
 
 
 def build_floor_round(agents: Sequence[str], now_s: float) -> FloorRound:
-    """Return a round that confirms a floor at these agents."""
-    return FloorRound(agents, floor_tier=HIGHEST_TIER, started_s=now_s)
+    """Return a round that confirms a floor at these agents.
+
+    The confirmer renews the floors itself, so the round never expires.
+    """
+    return FloorRound(
+        agents, floor_tier=HIGHEST_TIER, started_s=now_s, hold_s=inf
+    )
--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -74,6 +74,10 @@
         offer = self.build_offer(context, "")
         versions = {server.version for server in self._servers.values()}
         version = self._components.versions.choose(offer, versions, now_s)
+        if version is None and context.request_class.version in versions:
+            version = context.request_class.version
+        if version is not None:
+            excluded |= self._find_closed_servers(offer, version)
         name = self.router.choose(
             offer, excluded=excluded, version=version, now_s=now_s
         )
@@ -112,6 +116,19 @@
                 continue
         return _missed_target()
 
+    def _find_closed_servers(
+        self, offer: Offer, version: str
+    ) -> frozenset[str]:
+        """Return the servers that a version under test doesn't use."""
+        names = frozenset(
+            server.name
+            for server in self._servers.values()
+            if server.version == version
+        )
+        return names - self._components.versions.choose_servers(
+            offer.request_class, version, names
+        )
+
     def release(self, context: RequestContext, server: BackendServer) -> None:
         """Note that an offer has ended."""
         self._placement.release(context.request_id, server.name)
@@ -172,7 +189,11 @@
         """Tell the router, the rollouts and the predictor of a result."""
         self.router.record_result(offer, server.name, result, now_s)
         self._components.versions.record_result(
-            offer, server.version, result, now_s
+            offer,
+            server.version,
+            result,
+            now_s,
+            backend_server=server.name,
         )
         if result.status is OfferStatus.FINISHED and result.output_tokens:
             self._components.predictor.record(
--- a/azurewick/gateway/protocols.py
+++ b/azurewick/gateway/protocols.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Any
 from typing import Protocol
@@ -161,8 +162,19 @@
     ) -> str | None:
         """Return a version, None for any."""
 
+    def choose_servers(
+        self, request_class: str, version: str, names: Iterable[str]
+    ) -> frozenset[str]:
+        """Return the servers of a version that get requests of a class."""
+
     def record_result(
-        self, offer: Offer, version: str, result: OfferResult, now_s: float
+        self,
+        offer: Offer,
+        version: str,
+        result: OfferResult,
+        now_s: float,
+        *,
+        backend_server: str = "",
     ) -> None:
         """Note how an offer to a version ended."""
 
--- /dev/null
+++ b/azurewick/gateway/rollouts.py
@@ -0,0 +1,237 @@
+"""Controller of the version moves and of shared evidence in a gateway."""
+
+from __future__ import annotations
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+from asyncio import Task
+from collections.abc import Collection
+from contextlib import suppress
+from logging import getLogger
+from typing import Final
+
+from azurewick.control.models import CutNotice
+from azurewick.control.models import EvidenceCount
+from azurewick.errors import AzurewickError
+from azurewick.helpers.clock import monotonic_s
+from azurewick.helpers.clock import wall_clock_s
+from azurewick.lease.coordinator import LeaseCoordinator
+from azurewick.membership.coordinator import ClusterState
+from azurewick.platform.protocols import ObjectStore
+from azurewick.poison.detector import PoisonDetector
+from azurewick.rollout.coordinator import MoveCoordinator
+from azurewick.rollout.counts import Counts
+from azurewick.rollout.counts import EvidenceKey
+from azurewick.rollout.counts import EvidenceRow
+from azurewick.rollout.decisions import VersionCut
+from azurewick.rollout.decisions import VersionSelector
+from azurewick.rollout.models import LEASE_VERSION_MOVES
+from azurewick.rollout.models import parse_move
+from azurewick.rollout.models import VersionMove
+from azurewick.rollout.planner import FleetSize
+
+_LOGGER = getLogger(__name__)
+
+# Evidence waits at most this long before it goes into a Sync.
+SHARE_INTERVAL_S: Final = 0.5
+STEP_INTERVAL_S: Final = 1.0
+
+
+class MonotonicLease:
+    """Lease for controllers that count wall-clock time."""
+
+    def __init__(self, lease: LeaseCoordinator) -> None:
+        self._lease = lease
+
+    def fencing_number(self, now_s: float) -> int | None:
+        """Return the fencing number while the lease is held, or None.
+
+        The lease is kept by the monotonic clock, which now_s is not.
+        """
+        return self._lease.fencing_number(monotonic_s())
+
+
+class RolloutService:
+    """Follows the moves, shares evidence and advances moves under a lease."""
+
+    def __init__(
+        self,
+        cluster: ClusterState,
+        store: ObjectStore,
+        selector: VersionSelector,
+        poison: PoisonDetector,
+        gateway: str,
+    ) -> None:
+        self._cluster = cluster
+        self._selector = selector
+        self._poison = poison
+        self._gateway = gateway
+        self._lease = LeaseCoordinator(
+            store,
+            LEASE_VERSION_MOVES,
+            f"{gateway}/{cluster.incarnation}",
+            monotonic_s,
+            is_candidate=self._has_progressing_move,
+        )
+        self._coordinator = MoveCoordinator(
+            store, MonotonicLease(self._lease), self, self
+        )
+        self._moves: tuple[VersionMove, ...] = ()
+        self._tasks: list[Task[None]] = []
+
+    async def async_start(self) -> None:
+        """Start to follow the moves."""
+        self._cluster.async_add_listener(self._take_changes)
+        self._tasks = [
+            create_task(self._lease.async_run()),
+            create_task(self._async_run_steps()),
+            create_task(self._async_run_exchange()),
+        ]
+
+    async def async_stop(self) -> None:
+        """Stop, and free the lease for another gateway."""
+        for task in self._tasks:
+            task.cancel()
+        await gather(*self._tasks, return_exceptions=True)
+        with suppress(AzurewickError):
+            await self._lease.async_release()
+
+    def evidence(self) -> Collection[EvidenceRow]:
+        """Return the counts of all gateways."""
+        return (*self._selector.evidence(), *self._find_shared(monotonic_s()))
+
+    def cuts(self) -> Collection[VersionCut]:
+        """Return the cuts of all gateways."""
+        return self._selector.cuts()
+
+    def fleet_size(self, move: VersionMove) -> FleetSize:
+        """Return the live servers of the new and the old version."""
+        snapshot = self._cluster.snapshot
+        request_class = (
+            snapshot.classes.get(move.request_class) if snapshot else None
+        )
+        if request_class is None:
+            return FleetSize(new_servers=0, old_servers=0)
+        versions = [
+            server.version
+            for server in self._cluster.backend_servers(
+                request_class.pool, monotonic_s()
+            )
+        ]
+        old = _choose_old_version(move, request_class.version, versions)
+        return FleetSize(
+            new_servers=versions.count(move.version),
+            old_servers=versions.count(old),
+            old_version=old,
+        )
+
+    def _has_progressing_move(self) -> bool:
+        return any(move.is_progressing for move in self._moves)
+
+    async def _async_run_steps(self) -> None:
+        while True:
+            await sleep(STEP_INTERVAL_S)
+            await self._coordinator.async_step(wall_clock_s())
+
+    async def _async_run_exchange(self) -> None:
+        while True:
+            await sleep(SHARE_INTERVAL_S)
+            self._exchange(monotonic_s())
+
+    def _exchange(self, now_s: float) -> None:
+        """Share the own evidence and cuts; take those of the others."""
+        cluster = self._cluster
+        cluster.record_evidence(
+            map(_build_count, self._selector.evidence()), now_s
+        )
+        for cut in self._selector.cuts():
+            notice = CutNotice(
+                request_class=cut.request_class,
+                version=cut.version,
+                move_id=cut.move_id,
+                reason=cut.reason,
+            )
+            cluster.record_cut(notice, now_s)
+        self._take_shared(now_s)
+
+    def _find_shared(self, now_s: float) -> list[EvidenceRow]:
+        """Return the counts of the other gateways."""
+        return [
+            _build_row(count)
+            for count in self._cluster.shared_entries(now_s).evidence
+            if count.gateway != self._gateway
+        ]
+
+    def _take_shared(self, now_s: float) -> None:
+        shared = self._cluster.shared_entries(now_s)
+        self._selector.update_evidence(self._find_shared(now_s), now_s)
+        for notice in shared.cuts:
+            self._selector.record_cut(
+                VersionCut(
+                    request_class=notice.request_class,
+                    version=notice.version,
+                    move_id=notice.move_id,
+                    reason=notice.reason,
+                )
+            )
+        for crash in shared.poison:
+            self._poison.record_crash(
+                crash.source, crash.incarnation, (crash.fingerprint,), now_s
+            )
+
+    def _take_changes(self) -> None:
+        """Take changed moves, and urgent entries such as cuts."""
+        moves = []
+        for stored in self._cluster.moves:
+            try:
+                moves.append(parse_move(stored))
+            except AzurewickError as err:
+                _LOGGER.debug("version move left out: %s", err)
+        self._moves = tuple(moves)
+        self._selector.update_moves(moves)
+        self._take_shared(monotonic_s())
+
+
+def _choose_old_version(
+    move: VersionMove, configured: str | None, versions: Collection[str]
+) -> str:
+    """Return the version that the class had before the move."""
+    if move.previous_version:
+        return move.previous_version
+    if configured in versions and configured != move.version:
+        return configured or ""
+    others = [version for version in versions if version != move.version]
+    return max(others, default="")
+
+
+def _build_row(count: EvidenceCount) -> EvidenceRow:
+    key = EvidenceKey(
+        count.request_class, count.version, count.route, count.backend_server
+    )
+    counts = Counts(
+        count.requests,
+        count.failures,
+        count.slow,
+        count.broken,
+        count.crashes,
+    )
+    return EvidenceRow(count.gateway, count.incarnation, key, counts)
+
+
+def _build_count(row: EvidenceRow) -> EvidenceCount:
+    key = row.key
+    counts = row.counts
+    return EvidenceCount(
+        gateway=row.gateway,
+        incarnation=row.incarnation,
+        request_class=key.request_class,
+        version=key.version,
+        route=key.route,
+        backend_server=key.backend_server,
+        requests=counts.requests,
+        failures=counts.failures,
+        slow=counts.slow,
+        broken=counts.broken,
+        crashes=counts.crashes,
+    )
--- a/azurewick/gateway/shedding.py
+++ b/azurewick/gateway/shedding.py
@@ -31,6 +31,7 @@
 # Half of the hold time: the floor then stays for longer than the second
 # after a refusal in which no lower tier may be dispatched.
 CONFIRMED_FOR_S = ADMISSION_FLOOR_HOLD_S / 2
+RENEWAL_INTERVAL_S = 1.0
 # Silent agents lose their permit within it, so a round that lasts longer
 # has met an agent that answers some calls only.
 ROUND_TIMEOUT_S = 2 * PERMIT_DURATION_S
@@ -75,6 +76,10 @@
             reply = await AgentControlStub(
                 self._channels[address]
             ).SetAdmissionFloor(request, timeout=CALL_TIMEOUT_S)
+        except ConnectionRefusedError:
+            # An agent listens until it exits, so none runs at the address
+            # and none can dispatch. A new one starts without a permit.
+            return True
         except (GRPCError, StreamTerminatedError, OSError, TimeoutError):
             return False
         return bool(reply.floor_tier <= floor_tier)
@@ -175,6 +180,7 @@
         self.rounds_started += 1
         floor_round = self._create_round(tuple(agents), started_s)
         waiting = dict(agents)
+        renewed_s = started_s
         while (now_s := monotonic_s()) - started_s < self._round_timeout_s:
             if self._find_agents(pool, now_s).keys() - agents.keys():
                 # A round knows its agents from the start, so a server that
@@ -182,9 +188,14 @@
                 agents = dict(self._agents[pool])
                 waiting = dict(agents)
                 floor_round = self._create_round(tuple(agents), now_s)
+            if now_s - renewed_s >= RENEWAL_INTERVAL_S:
+                # The floors of the agents that answered must not expire
+                # while the permits of the silent ones run out.
+                renewed_s = now_s
+                waiting = dict(agents)
             await self._async_call_all(waiting, tier, floor_round)
             if floor_round.is_confirmed(monotonic_s()):
-                self._note(pool, tier, agents, waiting, started_s)
+                self._note(pool, tier, agents, waiting, renewed_s)
                 return True
             await sleep(RETRY_INTERVAL_S)
         return False
--- a/azurewick/gateway/wiring.py
+++ b/azurewick/gateway/wiring.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Coroutine
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -195,8 +196,20 @@
         """Return None for any version."""
         return None
 
+    def choose_servers(
+        self, request_class: str, version: str, names: Iterable[str]
+    ) -> frozenset[str]:
+        """Return all servers."""
+        return frozenset(names)
+
     def record_result(
-        self, offer: Offer, version: str, result: OfferResult, now_s: float
+        self,
+        offer: Offer,
+        version: str,
+        result: OfferResult,
+        now_s: float,
+        *,
+        backend_server: str = "",
     ) -> None:
         """Ignore a result."""
 
--- a/azurewick/models.py
+++ b/azurewick/models.py
@@ -39,13 +39,18 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestClass:
-    """Class of requests with one pool, tier and target."""
+    """Class of requests with one pool, tier and target.
+
+    version serves the class before its first version move; None allows all
+    versions of the pool.
+    """
 
     name: str
     pool: str
     tier: int
     target: ClassTarget
     repeatable: bool = True
+    version: str | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/azurewick/rollout/models.py
+++ b/azurewick/rollout/models.py
@@ -92,6 +92,7 @@
             "version": self.version,
             "by_time_s": self.by_time_s,
             "requested_by": self.requested_by,
+            "previous_version": self.previous_version,
         }
 
     def as_status(self) -> dict[str, Any]:
@@ -120,6 +121,7 @@
     version: Name
     by_time_s: float = Field(gt=0)
     requested_by: str = ""
+    previous_version: str = ""
     cancelled: bool = False
 
 
@@ -158,6 +160,9 @@
     if status.id != spec.id:
         status = _StatusModel(id=spec.id)
     fields = spec.model_dump(exclude={"cancelled"}) | status.model_dump()
+    fields["previous_version"] = (
+        status.previous_version or spec.previous_version
+    )
     move = VersionMove(**fields)
     if spec.cancelled and move.is_progressing:
         fields |= {"state": MoveState.CANCELLED, "share": 0.0}
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -71,6 +71,8 @@
         _build_class(CLASS_DEPOSIT, POOL_BOOKING, 0, {"completion_s": 5}),
     ]
     classes[-1]["repeatable"] = False
+    for item in classes[:-1]:
+        item["version"] = "v1"
     return {
         "pools": [
             {"name": POOL_ASSISTANT, "kind": "model"},
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -107,11 +107,13 @@
         await sending
 
     async def _async_play_store_outage(self) -> None:
-        await self.fleet.async_set_faults(self.fleet.store_url, outage=True)
+        await self.fleet.async_set_faults(
+            self.fleet.store_url, outage="unavailable"
+        )
         before = len(self.callers.records)
         await self.callers.async_send_for(OUTAGE_S, STEADY_RATE_PER_S)
         await self.callers.async_drain()
-        await self.fleet.async_set_faults(self.fleet.store_url, outage=False)
+        await self.fleet.async_set_faults(self.fleet.store_url, outage="none")
         records = self.callers.records[before:]
         for record in records:
             if record.request_class == CLASS_DEPOSIT:
