--- a/tests/agent/builders.py
+++ b/tests/agent/builders.py
@@ -20,10 +20,9 @@
 from aiohttp.web import AppRunner
 from aiohttp.web import TCPSite
 
+from azurewick.admission.floor import AdmissionFloor
+from azurewick.admission.tier_queue import TierQueue
 from azurewick.agent.agent import Agent
-from azurewick.agent.simple_admission import FixedLimit
-from azurewick.agent.simple_admission import SimpleFloor
-from azurewick.agent.simple_admission import SimpleTierQueue
 from azurewick.const import HEADER_OFFER
 from azurewick.const import PATH_AGENT_DISPATCH
 from azurewick.models import Offer
@@ -182,6 +181,16 @@
     return Offer(**{**fields, **changes})
 
 
+class FixedLimit:
+    """Concurrency limit that doesn't learn."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+
+    def record_step(self, *step: object) -> None:
+        return
+
+
 class AgentHarness:
     """Agent with its HTTP port, a backend server and a client."""
 
@@ -203,8 +212,8 @@
         await self.backend.async_start()
         self.agent = Agent(
             make_settings(self.backend.url, **self._settings),
-            queue=SimpleTierQueue(16),
-            floor=SimpleFloor(),
+            queue=TierQueue(16),
+            floor=AdmissionFloor(),
             limit=FixedLimit(self._limit),
             crashes=self,
         )
@@ -227,6 +236,14 @@
         await self.agent.backend.async_stop()
         await self.backend.async_stop()
 
+    async def async_kill(self) -> None:
+        """End the agent as a killed process does: every connection breaks."""
+        for protocol in list(self.runner.server.connections):
+            if protocol.transport is not None:
+                protocol.transport.abort()
+        for site in list(self.runner.sites):
+            await site.stop()
+
     def dispatch(self, offer: Offer, body: bytes = b"{}") -> Any:
         return self.client.post(
             self.url + PATH_AGENT_DISPATCH,
--- /dev/null
+++ b/tests/agent/test_control.py
@@ -0,0 +1,147 @@
+"""Tests of the control port: orders, fencing and the admission floor."""
+
+from __future__ import annotations
+
+from asyncio import create_task
+from asyncio import sleep
+from unittest import IsolatedAsyncioTestCase
+
+from grpclib.testing import ChannelFor
+
+from azurewick.agent.control_api import ControlApi
+from azurewick.agent.orders import FencingGate
+from azurewick.agent.orders import KeyedAuthenticator
+from azurewick.control.authentication import OrderAuthenticator
+from azurewick.control.control_grpc import AgentControlStub
+from azurewick.control.control_pb2 import AdmissionFloorRequest
+from azurewick.control.control_pb2 import OrderRequest
+from azurewick.control.control_pb2 import ProbeRequest
+from azurewick.errors import AzurewickError
+from azurewick.errors import Outcome
+from azurewick.helpers.clock import wall_clock_s
+from azurewick.settings.models import OrderKey
+from bench.memory_store import MemoryStore
+from bench.memory_store import StoreData
+from tests.agent.builders import AgentHarness
+from tests.agent.builders import async_hold
+from tests.agent.builders import async_wait_for
+from tests.agent.builders import make_offer
+from tests.agent.builders import ScriptedBackend
+from tests.claims.builders import store_error
+
+KEY = OrderKey(key_id="k1", secret="s" * 32)
+
+
+class FencingTest(IsolatedAsyncioTestCase):
+    """Guards against an order of a lease holder that was replaced."""
+
+    async def test_numbers_before_and_after_a_restart(self):
+        store = MemoryStore(StoreData())
+        item = await store.async_create(
+            "leases", "version-moves", {"fencing_number": 7}
+        )
+        self.assertEqual("version-moves", item.name)
+        gate = FencingGate(store)
+        for number, accepted in ((6, False), (7, True), (9, True), (8, False)):
+            with self.subTest(number=number):
+                self.assertEqual(
+                    accepted, await self._async_accepts(gate, number)
+                )
+        restarted = FencingGate(store)
+        self.assertFalse(await self._async_accepts(restarted, 6))
+
+        async def async_refuse(kind, effect):
+            raise store_error(Outcome.NOT_RUN)
+
+        without_store = FencingGate(MemoryStore(store.data, async_refuse))
+        with self.assertRaises(AzurewickError) as caught:
+            await without_store.async_check("version-moves", 99)
+        self.assertEqual("store_unavailable", caught.exception.code)
+        without_store._store = store
+        self.assertTrue(await self._async_accepts(without_store, 7))
+
+    async def _async_accepts(self, gate, number):
+        try:
+            await gate.async_check("version-moves", number)
+        except AzurewickError as err:
+            self.assertEqual("stale_fencing_number", err.code)
+            return False
+        return True
+
+
+class ControlPortTest(IsolatedAsyncioTestCase):
+    """Guards against unsigned orders and a floor acknowledged too early."""
+
+    def _build_api(self, agent, store):
+        return ControlApi(
+            "assistant",
+            agent.dispatcher,
+            FencingGate(store),
+            KeyedAuthenticator([KEY]),
+            agent.report,
+            agent.async_obey,
+        )
+
+    async def test_orders_drain_and_resume(self):
+        store = MemoryStore(StoreData())
+        await store.async_create("leases", "drains", {"fencing_number": 3})
+        async with AgentHarness(ScriptedBackend()) as harness:
+            api = self._build_api(harness.agent, store)
+            async with ChannelFor([api]) as channel:
+                stub = AgentControlStub(channel)
+                unsigned = OrderRequest(
+                    order_id="o1",
+                    lease="drains",
+                    fencing_number=3,
+                    action="drain",
+                )
+                reply = await stub.Order(unsigned)
+                self.assertEqual("unauthenticated", reply.code)
+                self.assertTrue(harness.agent.dispatcher.is_ready)
+                signatures = OrderAuthenticator([KEY])
+                for number, action, ready in (
+                    (3, "drain", False),
+                    (3, "resume", True),
+                    (5, "drain", False),
+                    (4, "resume", False),
+                ):
+                    with self.subTest(number=number, action=action):
+                        order = OrderRequest(
+                            order_id=f"o-{number}-{action}",
+                            lease="drains",
+                            fencing_number=number,
+                            action=action,
+                        )
+                        await stub.Order(
+                            signatures.sign(order, wall_clock_s())
+                        )
+                        probe = await stub.Probe(ProbeRequest(node="gw"))
+                        self.assertEqual(ready, probe.ready)
+
+    async def test_floor_waits_for_what_was_granted_before(self):
+        backend = ScriptedBackend(async_hold)
+        async with AgentHarness(backend, limit=1) as harness:
+            dispatcher = harness.agent.dispatcher
+            dispatcher.record_contact()
+            api = self._build_api(harness.agent, MemoryStore(StoreData()))
+            granted = await dispatcher.async_acquire(make_offer("g", tier=2))
+            queued = create_task(
+                harness.async_dispatch(make_offer("q", tier=1))
+            )
+            await async_wait_for(lambda: dispatcher.queued == 1)
+            async with ChannelFor([api]) as channel:
+                stub = AgentControlStub(channel)
+                request = AdmissionFloorRequest(
+                    pool="assistant", floor_tier=0, hold_ms=5000, gateway="gw"
+                )
+                acknowledged = create_task(stub.SetAdmissionFloor(request))
+                status, _, outcome = await queued
+                self.assertEqual((503, "not_run"), (status, outcome))
+                for _ in range(20):
+                    await sleep(0)
+                self.assertFalse(acknowledged.done())
+                granted.sent.set()
+                reply = await acknowledged
+                self.assertEqual(0, reply.floor_tier)
+            dispatcher.release(granted)
+            self.assertEqual([], backend.requests)
