agent: test that an expired request is told before a slot is free

Cause: a trial mutation without the expiry timer survived. Change: one more row in the dispatcher's table. Conclusion: the mutation is caught.

--- a/tests/agent/test_dispatcher.py
+++ b/tests/agent/test_dispatcher.py
@@ -89,6 +89,19 @@
                 [("a", {}), ("b", {"budget_s": 0.5}), ("c", {})],
                 [("a", "runs"), ("b", "target_unreachable"), ("c", "runs")],
             ),
+            (
+                "an expired request is told before a slot is free",
+                [
+                    ("a", {}),
+                    ("b", {"budget_s": 0.005}),
+                    ("c", {"incarnation": "old"}),
+                ],
+                [
+                    ("a", "runs"),
+                    ("b", "target_unreachable"),
+                    ("c", "wrong_incarnation"),
+                ],
+            ),
             (
                 "a drain refuses queued and new work",
                 [
