--- a/azurewick/agent/backend.py
+++ b/azurewick/agent/backend.py
@@ -21,6 +21,7 @@
 from yarl import URL
 
 from azurewick.agent.orders import AgentOrder
+from azurewick.const import HEADER_IDEMPOTENCY_KEY
 from azurewick.const import HEADER_REQUEST_ID
 from azurewick.const import PATH_HEALTH
 from azurewick.errors import AzurewickError
@@ -120,6 +121,10 @@
         no byte was written, otherwise backend_failed with outcome unknown.
         """
         headers = {HEADER_REQUEST_ID: offer.request_id}
+        if offer.claim_key:
+            # Keys of different customers may be the same text, so the
+            # service gets the key that covers the customer.
+            headers[HEADER_IDEMPOTENCY_KEY] = offer.claim_key
         if body:
             headers["Content-Type"] = offer.content_type
         return await self._open_session().request(
--- a/azurewick/gateway/context.py
+++ b/azurewick/gateway/context.py
@@ -11,6 +11,7 @@
 
 from aiohttp.streams import StreamReader
 
+from azurewick.claims.models import make_claim_key
 from azurewick.models import Customer
 from azurewick.models import RequestClass
 
@@ -64,7 +65,7 @@
         """
         if not self.idempotency_key:
             return ""
-        return digest(
+        return make_claim_key(
             self.customer.name, self.request_class.name, self.idempotency_key
         )
 
--- a/demo/load.py
+++ b/demo/load.py
@@ -15,6 +15,7 @@
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
 
+from azurewick.claims.models import make_claim_key
 from azurewick.const import HEADER_IDEMPOTENCY_KEY
 from azurewick.const import HEADER_REQUEST_CLASS
 from azurewick.const import PATH_CHAT_COMPLETIONS
@@ -29,10 +30,11 @@
 from demo.fleet import POOL_BOOKING
 
 REQUEST_TIMEOUT_S = 20.0
+PACE_INTERVAL_S = 0.01
 TIERS = {CLASS_QUICK: 0, CLASS_DRAFT: 1, CLASS_TAG: 2, CLASS_DEPOSIT: 0}
 FIRST_TOKEN_TARGET_S = {CLASS_QUICK: 1.9}
 COMPLETION_TARGET_S = {CLASS_DRAFT: 10.0, CLASS_TAG: 10.0, CLASS_DEPOSIT: 5.0}
-MAX_TOKENS = {CLASS_QUICK: 12, CLASS_DRAFT: 60, CLASS_TAG: 4}
+MAX_TOKENS = {CLASS_QUICK: 12, CLASS_DRAFT: 30, CLASS_TAG: 4}
 PROMPT_WORDS = {CLASS_QUICK: 40, CLASS_DRAFT: 200, CLASS_TAG: 24}
 SHARED_PREFIX_WORDS = 0.75
 CLASS_CYCLE = (
@@ -56,7 +58,7 @@
     code: str = ""
     outcome: str = ""
     is_whole: bool = False
-    idempotency_key: str = ""
+    claim_key: str = ""
 
     @property
     def is_good(self) -> bool:
@@ -92,10 +94,13 @@
         resends: int = 0,
     ) -> None:
         """Send requests at a steady rate; answers may arrive later."""
-        deadline_s = monotonic() + duration_s
-        while monotonic() < deadline_s:
-            self.send(classes[self._sent % len(classes)], resends=resends)
-            await asyncio.sleep(1 / rate_per_s)
+        started_s = monotonic()
+        sent = 0
+        while (elapsed_s := monotonic() - started_s) < duration_s:
+            while sent < elapsed_s * rate_per_s:
+                self.send(classes[self._sent % len(classes)], resends=resends)
+                sent += 1
+            await asyncio.sleep(PACE_INTERVAL_S)
 
     def send(
         self, request_class: str, *, resends: int = 0, key: str = ""
@@ -133,7 +138,7 @@
         self, request_class: str, number: int, key: str, attempt: int
     ) -> RequestRecord:
         url = self.gateway_urls[(number + attempt) % len(self.gateway_urls)]
-        customer = list(API_KEYS)[number % len(API_KEYS)]
+        customer = list(API_KEYS)[len(key) % len(API_KEYS)]
         headers = {
             "Authorization": f"Bearer {API_KEYS[customer]}",
             HEADER_REQUEST_CLASS: request_class,
@@ -145,8 +150,11 @@
         else:
             path = PATH_CHAT_COMPLETIONS
             body = self._build_chat(request_class, number, customer)
+        claim_key = ""
+        if request_class == CLASS_DEPOSIT:
+            claim_key = make_claim_key(customer, request_class, key)
         record = await self._async_post(
-            url + path, headers, body, request_class, key
+            url + path, headers, body, request_class, claim_key
         )
         self.records.append(record)
         return record
@@ -171,7 +179,7 @@
         headers: dict[str, str],
         body: dict[str, Any],
         request_class: str,
-        key: str,
+        claim_key: str,
     ) -> RequestRecord:
         sent_at_s = monotonic()
         first_token_s: float | None = None
@@ -207,7 +215,7 @@
             code=code,
             outcome=outcome,
             is_whole=is_whole,
-            idempotency_key=key if request_class == CLASS_DEPOSIT else "",
+            claim_key=claim_key,
         )
 
 
--- a/demo/moves.py
+++ b/demo/moves.py
@@ -6,9 +6,9 @@
 import json
 import sys
 
+from demo.fleet import API_GROUP_PATH
 from demo.fleet import Fleet
 
-POLL_INTERVAL_S = 0.5
 FINAL_STATES = ("done", "rolled_back", "cancelled")
 
 
@@ -56,17 +56,9 @@
     )
 
 
-async def async_wait_for_move(
-    fleet: Fleet, request_class: str, version: str, timeout_s: float
-) -> str:
-    """Wait for the end of a move and return its state."""
-    state = "unknown"
-    for _ in range(int(timeout_s / POLL_INTERVAL_S)):
-        rows = json.loads(await async_run_command(fleet, "version", "status"))
-        for row in rows:
-            if (row["class"], row["version"]) == (request_class, version):
-                state = row["state"]
-        if state in FINAL_STATES:
-            break
-        await asyncio.sleep(POLL_INTERVAL_S)
-    return state
+async def async_read_state(fleet: Fleet, request_class: str) -> str:
+    """Return the state of the move of a class as the store has it."""
+    move = await fleet.async_read(
+        f"{fleet.store_url}{API_GROUP_PATH}/versionmoves/{request_class}"
+    )
+    return str(move.get("status", {}).get("state", ""))
--- a/demo/report.py
+++ b/demo/report.py
@@ -60,8 +60,8 @@
     """Compare what callers were told of deposits with what was run."""
     by_key: dict[str, list[RequestRecord]] = {}
     for record in records:
-        if record.idempotency_key:
-            by_key.setdefault(record.idempotency_key, []).append(record)
+        if record.claim_key:
+            by_key.setdefault(record.claim_key, []).append(record)
     for key, attempts in by_key.items():
         runs = runs_by_key.get(key, 0)
         confirmed = any(record.is_whole for record in attempts)
