--- a/azurewick/gateway/offer.py
+++ b/azurewick/gateway/offer.py
@@ -128,4 +128,4 @@
         try:
             return await run.async_run()
         finally:
-            pool.release(running.context, server)
+            pool.release(running.context)
--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -79,6 +79,7 @@
         )
         if name is None or name not in self._servers:
             return _no_server()
+        self._placement.start(context.fingerprint, context.request_id, name)
         return self._servers[name]
 
     async def _async_choose_for_suspect(
@@ -100,7 +101,12 @@
                     step=Step.SELECT,
                 )
             name = self._placement.acquire(
-                context.fingerprint, context.request_id, names
+                context.fingerprint,
+                context.request_id,
+                names,
+                self._components.poison.crash_count(
+                    context.fingerprint, now_s
+                ),
             )
             if name is not None:
                 return self._servers[name]
@@ -112,9 +118,9 @@
                 continue
         return _missed_target()
 
-    def release(self, context: RequestContext, server: BackendServer) -> None:
+    def release(self, context: RequestContext) -> None:
         """Note that an offer has ended."""
-        self._placement.release(context.request_id, server.name)
+        self._placement.release(context.fingerprint, context.request_id)
         self._suspect_ended.set()
 
     def build_offer(self, context: RequestContext, server: str) -> Offer:
--- a/azurewick/gateway/protocols.py
+++ b/azurewick/gateway/protocols.py
@@ -182,6 +182,9 @@
     def record_success(self, fingerprint: str) -> None:
         """Clear the suspicion of a fingerprint that finished."""
 
+    def crash_count(self, fingerprint: str, now_s: float) -> int:
+        """Return the crashes of a fingerprint that are not forgotten."""
+
     def is_poison(self, fingerprint: str, now_s: float) -> bool:
         """Return whether to refuse a fingerprint."""
 
--- /dev/null
+++ b/tests/poison/test_detector.py
@@ -0,0 +1,148 @@
+"""Tests of the poison detector and of the placement of suspects."""
+
+from __future__ import annotations
+
+from random import Random
+from unittest import TestCase
+
+from azurewick.poison.detector import FORGET_AFTER_S
+from azurewick.poison.detector import PoisonDetector
+from azurewick.poison.placement import SuspectPlacement
+from bench.poison import run
+
+
+class PoisonDetectorTest(TestCase):
+    """Guards against poison that is served and innocents that aren't."""
+
+    def setUp(self):
+        self.detector = PoisonDetector()
+
+    def crash(self, *crashes, now_s=0.0):
+        for source, incarnation in crashes:
+            self.detector.record_crash(source, incarnation, ["bad"], now_s)
+
+    def test_three_crashes_of_distinct_incarnations(self):
+        cases = (
+            ((("a", "1"),), True, False),
+            ((("a", "1"), ("b", "1")), True, False),
+            ((("a", "1"), ("b", "1"), ("c", "1")), True, True),
+            ((("a", "1"), ("a", "2"), ("a", "3")), True, True),
+            # Several gateways report the same crash.
+            ((("a", "1"),) * 5, True, False),
+            ((("a", "1"), ("b", "1")) * 5, True, False),
+        )
+        for crashes, is_suspect, is_poison in cases:
+            with self.subTest(crashes):
+                self.setUp()
+                self.crash(*crashes)
+                self.assertEqual(
+                    is_suspect, self.detector.is_suspect("bad", 1.0)
+                )
+                self.assertEqual(
+                    is_poison, self.detector.is_poison("bad", 1.0)
+                )
+                self.assertFalse(self.detector.is_suspect("good", 1.0))
+
+    def test_crashes_are_forgotten_one_by_one(self):
+        self.crash(("a", "1"), now_s=0.0)
+        self.crash(("b", "1"), ("c", "1"), now_s=100.0)
+        for now_s, count in (
+            (100.0, 3),
+            (FORGET_AFTER_S - 1.0, 3),
+            (FORGET_AFTER_S, 2),
+            (FORGET_AFTER_S + 99.0, 2),
+            (FORGET_AFTER_S + 100.0, 0),
+        ):
+            with self.subTest(now_s=now_s):
+                self.assertEqual(
+                    count, self.detector.crash_count("bad", now_s)
+                )
+
+    def test_late_report_doesn_t_renew_a_crash(self):
+        self.crash(("a", "1"), now_s=0.0)
+        self.crash(("a", "1"), now_s=FORGET_AFTER_S - 1.0)
+        self.assertFalse(self.detector.is_suspect("bad", FORGET_AFTER_S))
+
+    def test_success_clears_the_suspicion(self):
+        self.crash(("a", "1"), ("b", "1"))
+        self.detector.record_success("bad")
+        self.crash(("c", "1"))
+        self.assertFalse(self.detector.is_poison("bad", 0.0))
+
+    def test_memory_is_bounded_and_old_records_leave_first(self):
+        detector = PoisonDetector(max_fingerprints=100)
+        for i in range(1000):
+            detector.record_crash("a", str(i), [f"f{i}", "bad"], 1.0)
+            self.assertLessEqual(len(detector), 100)
+        self.assertTrue(detector.is_poison("bad", 1.0))
+        self.assertFalse(detector.is_suspect("f0", 1.0))
+        detector.record_crash("a", "last", ["last"], FORGET_AFTER_S + 2.0)
+        self.assertEqual(1, len(detector))
+
+
+class SuspectPlacementTest(TestCase):
+    """Guards against copies of a suspect that crash several servers."""
+
+    def test_random_runs_keep_to_one_suspect_for_each_server(self):
+        random = Random(5)
+        names = [f"server-{i}" for i in range(6)]
+        placement = SuspectPlacement()
+        running: dict[int, tuple[str, str]] = {}
+        for i in range(5000):
+            if running and random.random() < 0.5:
+                number = random.choice(list(running))
+                placement.release(running.pop(number)[0], str(number))
+            fingerprint = f"f{random.randrange(10)}"
+            live = random.sample(names, random.randrange(1, 7))
+            name = placement.acquire(fingerprint, str(i), live, 2)
+            if name is None:
+                continue
+            self.assertIn(name, live)
+            running[i] = fingerprint, name
+            pairs = set(running.values())
+            self.assertEqual(len(pairs), len({f for f, _ in pairs}))
+            self.assertEqual(len(pairs), len({n for _, n in pairs}))
+
+    def test_gateways_agree_without_messages(self):
+        names = [f"server-{i}" for i in range(6)]
+        for i in range(50):
+            first = SuspectPlacement().acquire(f"f{i}", "a", names, 1)
+            second = SuspectPlacement().acquire(f"f{i}", "b", names[::-1], 1)
+            self.assertEqual(first, second)
+
+    def test_suspect_waits_for_copies_that_ran_before(self):
+        names = [f"server-{i}" for i in range(6)]
+        placement = SuspectPlacement()
+        preferred = placement.acquire("bad", "1", names, 1)
+        placement.release("bad", "1")
+        other = next(name for name in names if name != preferred)
+        placement.start("bad", "2", other)
+        self.assertIsNone(placement.acquire("bad", "3", names, 1))
+        placement.release("bad", "2")
+        self.assertEqual(preferred, placement.acquire("bad", "3", names, 1))
+
+    def test_release_of_another_run_is_ignored(self):
+        placement = SuspectPlacement()
+        self.assertEqual("a", placement.acquire("bad", "1", ["a"], 2))
+        placement.release("bad", "2")
+        placement.release("other", "1")
+        # A suspect with one crash doesn't wait for another suspect.
+        self.assertEqual("a", placement.acquire("third", "9", ["a"], 1))
+        self.assertIsNone(placement.acquire("other", "3", ["a"], 2))
+        placement.release("bad", "1")
+        self.assertEqual("a", placement.acquire("other", "3", ["a"], 2))
+        self.assertIsNone(placement.acquire("other", "4", [], 2))
+
+
+class PoisonBenchTest(TestCase):
+    """Guards against a benchmark whose bounds are broken."""
+
+    def test_bounds_hold_and_baselines_break_them(self):
+        rows = run(1)
+        self.assertEqual([True, True], [row.ok for row in rows], rows)
+        crashes, innocents = rows
+        # Without the placement copies crash more servers; without counting
+        # crashes innocents are refused.
+        self.assertGreater(crashes.baseline["refuse_after_three"], 3)
+        self.assertGreater(innocents.baseline["refuse_after_one"], 1e-4)
+        self.assertEqual(rows, run(1))
