--- a/azurewick/gateway/agent_client.py
+++ b/azurewick/gateway/agent_client.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import fields
 import json
+from math import isfinite
+from typing import Any
 
 from aiohttp import ClientConnectorError
 from aiohttp import ClientError
@@ -38,7 +41,13 @@
 _OFFER_FIELDS = tuple(
     item.name for item in fields(Offer) if item.name != "prefix_hashes"
 )
-_LOAD_FIELDS = {item.name: item.type for item in fields(LoadReport)}
+_CASTS: dict[object, Callable[[Any], Any]] = {
+    "int": int,
+    "float": float,
+    "str": str,
+    "bool": bool,
+}
+_LOAD_CASTS = {item.name: _CASTS[item.type] for item in fields(LoadReport)}
 
 
 class AgentNotConnectedError(Exception):
@@ -46,7 +55,14 @@
 
 
 class AgentAnswerLostError(Exception):
-    """The offer may have reached the agent, but no answer came."""
+    """The offer may have reached the agent, but no answer came.
+
+    is_silence says that the connection is still open but without a byte.
+    """
+
+    def __init__(self, cause: Exception) -> None:
+        super().__init__(repr(cause))
+        self.is_silence = isinstance(cause, TimeoutError)
 
 
 class AgentClient:
@@ -99,7 +115,7 @@
         except (ClientConnectorError, ConnectionTimeoutError) as err:
             raise AgentNotConnectedError(str(err)) from err
         except (ClientError, OSError, TimeoutError, ValueError) as err:
-            raise AgentAnswerLostError(repr(err)) from err
+            raise AgentAnswerLostError(err) from err
 
     async def async_cancel(
         self, server: BackendServer, request_id: str
@@ -132,13 +148,15 @@
     if not text or len(text) > MAX_LOAD_BYTES:
         return None
     try:
-        document = json.loads(text)
-        return LoadReport(
-            **{
-                name: value
-                for name, value in document.items()
-                if name in _LOAD_FIELDS
-            }
-        )
-    except (ValueError, TypeError, AttributeError):
+        values = {
+            name: _LOAD_CASTS[name](value)
+            for name, value in json.loads(text).items()
+            if name in _LOAD_CASTS
+        }
+        if any(
+            isinstance(v, float) and not isfinite(v) for v in values.values()
+        ):
+            return None
+        return LoadReport(**values)
+    except (ValueError, TypeError, AttributeError, OverflowError):
         return None
--- a/azurewick/gateway/application.py
+++ b/azurewick/gateway/application.py
@@ -138,12 +138,16 @@
 def run_components(components: GatewayComponents) -> int:
     """Run a gateway of given components until SIGTERM."""
     settings = components.settings
-    with entrypoint(
-        GatewayService(components),
-        log_config=False,
-        shutdown_timeout=settings.drain_delay_s
-        + settings.drain_timeout_s
-        + CLOSE_TIMEOUT_S,
-    ) as loop:
-        loop.run_forever()
+    try:
+        with entrypoint(
+            GatewayService(components),
+            log_config=False,
+            shutdown_timeout=settings.drain_delay_s
+            + settings.drain_timeout_s
+            + CLOSE_TIMEOUT_S,
+        ) as loop:
+            loop.run_forever()
+    except OSError as err:
+        _LOGGER.error("gateway %s can't start: %s", settings.name, err)
+        return 1
     return 0
--- a/azurewick/gateway/context.py
+++ b/azurewick/gateway/context.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -24,7 +26,8 @@
     """Request of a caller; the filters fill it in step by step.
 
     received_s is monotonic time. pool is set for plain services only until
-    the class is known.
+    the class is known. accept_body tells a caller that waits for it to send
+    its body.
     """
 
     method: str
@@ -40,6 +43,8 @@
     body: bytes = b""
     idempotency_key: str = ""
     fingerprint: str = ""
+    accept_body: Callable[[], Awaitable[None]] | None = None
+    prefix_hashes: tuple[str, ...] | None = None
     customer: Customer = field(init=False)
     request_class: RequestClass = field(init=False)
 
--- a/azurewick/gateway/offer_run.py
+++ b/azurewick/gateway/offer_run.py
@@ -85,13 +85,14 @@
                 self._server.name, monotonic_s()
             )
             self._record(OfferStatus.REFUSED)
+            self._pool.forget_incarnation(self._server.name)
             return self._error(
                 ErrorCode.BACKEND_UNREACHABLE,
                 f"no connection to the agent: {err}",
                 Outcome.NOT_RUN,
             )
         except AgentAnswerLostError as err:
-            self._record_crash()
+            self._record_broken(err.is_silence)
             if self._offer.repeatable:
                 # A paused agent must not run it when it resumes.
                 self._send_cancel()
@@ -183,7 +184,7 @@
             else:
                 await self._async_pass_stream(response, head)
         except (ClientError, OSError, TimeoutError) as err:
-            self._record_crash()
+            self._record_broken(isinstance(err, TimeoutError))
             raise self._error(
                 ErrorCode.STREAM_BROKEN,
                 f"answer is not whole: {err!r}",
@@ -235,9 +236,13 @@
         except ValueError:
             return False
 
-    def _record_crash(self) -> None:
+    def _record_broken(self, is_silence: bool) -> None:
         self._record(OfferStatus.BROKEN)
-        self._record_suspicion()
+        self._pool.forget_incarnation(self._server.name)
+        # A silent agent is paused or cut off; only a closed connection is
+        # the sign of a crash.
+        if not is_silence:
+            self._record_suspicion()
 
     def _record_suspicion(self) -> None:
         self._components.poison.record_crash(
--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -73,15 +73,36 @@
             return _missed_target()
         offer = self.build_offer(context, "")
         versions = {server.version for server in self._servers.values()}
-        version = self._components.versions.choose(offer, versions, now_s)
-        name = self.router.choose(
-            offer, excluded=excluded, version=version, now_s=now_s
-        )
+        name = self._choose_server(offer, versions, excluded, now_s)
         if name is None or name not in self._servers:
             return _no_server()
         self._placement.start(context.fingerprint, context.request_id, name)
         return self._servers[name]
 
+    def _choose_server(
+        self,
+        offer: Offer,
+        versions: set[str],
+        excluded: frozenset[str],
+        now_s: float,
+    ) -> str | None:
+        selector = self._components.versions
+        version = selector.choose(offer, versions, now_s)
+        name = self.router.choose(
+            offer, excluded=excluded, version=version, now_s=now_s
+        )
+        if name is not None or version is None or not excluded:
+            return name
+        # All servers of the version have refused. Another version takes the
+        # request only if the selector names it, so that a refusal can't
+        # raise the share of a version under test.
+        other = selector.choose(offer, versions - {version}, now_s)
+        if other is None:
+            return None
+        return self.router.choose(
+            offer, excluded=excluded, version=other, now_s=now_s
+        )
+
     async def _async_choose_for_suspect(
         self, context: RequestContext, excluded: frozenset[str]
     ) -> BackendServer | AzurewickError:
@@ -128,7 +149,8 @@
         request_class = context.request_class
         report = self.reports.get(server)
         deadline_s = context.deadline_s
-        prefix_hashes = self._components.hash_prefix(context.body)
+        if context.prefix_hashes is None:
+            context.prefix_hashes = self._components.hash_prefix(context.body)
         return Offer(
             request_id=context.request_id,
             customer=context.customer.name,
@@ -150,9 +172,17 @@
             fingerprint=context.fingerprint,
             claim_key="" if request_class.repeatable else context.claim_key,
             incarnation="" if report is None else report.incarnation,
-            prefix_hashes=prefix_hashes,
+            prefix_hashes=context.prefix_hashes,
         )
 
+    def forget_incarnation(self, server: str) -> None:
+        """Send the next offers without the incarnation of an agent.
+
+        After a broken connection the agent may have restarted, and would
+        refuse offers for its former incarnation.
+        """
+        self.reports.pop(server, None)
+
     def take_load(
         self, response: ClientResponse, name: str
     ) -> LoadReport | None:
--- a/azurewick/gateway/responder.py
+++ b/azurewick/gateway/responder.py
@@ -113,7 +113,9 @@
                 response.content_length = head.content_length
             await response.prepare(request)
             try:
-                await self._async_copy(reader, response)
+                await self._async_copy(
+                    reader, response, has_body=request.method != "HEAD"
+                )
             except AzurewickError as err:
                 if head.is_event_stream:
                     await self._async_write_event(response, err)
@@ -125,9 +127,11 @@
             reader.close()
 
     async def _async_copy(
-        self, reader: AnswerReader, response: StreamResponse
+        self, reader: AnswerReader, response: StreamResponse, *, has_body: bool
     ) -> None:
         while data := await reader.async_read():
+            if not has_body:
+                continue
             async with timeout(self._write_timeout_s):
                 await response.write(data)
         await response.write_eof()
--- a/azurewick/gateway/server.py
+++ b/azurewick/gateway/server.py
@@ -5,6 +5,7 @@
 from asyncio import BaseTransport
 from asyncio import CancelledError
 from asyncio import Event
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -244,11 +245,19 @@
         return response
 
     def _build_context(self, request: BaseRequest) -> RequestContext:
+        expects_answer = (
+            request.headers.get("Expect", "").lower() == "100-continue"
+        )
         return RequestContext(
             method=request.method,
             path=request.raw_path,
             headers=request.headers,
             payload=request.content if request.body_exists else None,
+            accept_body=(
+                partial(_async_accept_body, request)
+                if expects_answer
+                else None
+            ),
             received_s=monotonic_s(),
             request_id=self.request_ids.create(),
             header_bytes=sum(
@@ -294,6 +303,12 @@
     context.path = f"/{rest}"
 
 
+async def _async_accept_body(request: BaseRequest) -> None:
+    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # aiohttp takes output as the start of the answer.
+    request.writer.output_size = 0
+
+
 def _invalid(message: str) -> AzurewickError:
     return AzurewickError(
         ErrorCode.INVALID_REQUEST, message, step=Step.RECEIVE
