Renew floors while a round waits; write without a timer where possible

A round may last more than 5 s for a silent agent, and the floors of the agents that had acknowledged at its start expired before its end. They are now renewed, and a round is confirmed only while all of them are in force. An error of a floor call no longer ends the round. A confirmation counts from its oldest acknowledgement for 3.5 s instead of 2.5 s.

A caller that takes no byte for 30 s is cut off; a test covers it.

--- a/azurewick/gateway/responder.py
+++ b/azurewick/gateway/responder.py
@@ -30,6 +30,8 @@
 
 # A caller that takes no byte for this long is gone or holds up an engine.
 WRITE_TIMEOUT_S = 30.0
+# Below the transport's limit of 64 KiB at which writers have to wait.
+FREE_WRITE_BYTES = 32_768
 # Time for the error event to leave before the connection is aborted.
 ABORT_DELAY_S = 5.0
 DEFAULT_RETRY_AFTER_S = 2.0
@@ -113,9 +115,7 @@
                 response.content_length = head.content_length
             await response.prepare(request)
             try:
-                await self._async_copy(
-                    reader, response, has_body=request.method != "HEAD"
-                )
+                await self._async_copy(request, reader, response)
             except AzurewickError as err:
                 if head.is_event_stream:
                     await self._async_write_event(response, err)
@@ -127,11 +127,24 @@
             reader.close()
 
     async def _async_copy(
-        self, reader: AnswerReader, response: StreamResponse, *, has_body: bool
+        self,
+        request: BaseRequest,
+        reader: AnswerReader,
+        response: StreamResponse,
     ) -> None:
+        has_body = request.method != "HEAD"
+        transport = request.transport
         while data := await reader.async_read():
             if not has_body:
                 continue
+            if (
+                len(data) < FREE_WRITE_BYTES
+                and transport is not None
+                and transport.get_write_buffer_size() == 0
+            ):
+                # Can't block, so it needs no timer for each chunk.
+                await response.write(data)
+                continue
             async with timeout(self._write_timeout_s):
                 await response.write(data)
         await response.write_eof()
--- a/azurewick/gateway/shedding.py
+++ b/azurewick/gateway/shedding.py
@@ -28,9 +28,9 @@
 
 CALL_TIMEOUT_S = 1.0
 RETRY_INTERVAL_S = 0.25
-# Half of the hold time: the floor then stays for longer than the second
-# after a refusal in which no lower tier may be dispatched.
-CONFIRMED_FOR_S = ADMISSION_FLOOR_HOLD_S / 2
+# No lower tier may be dispatched in the second after a refusal, so an
+# acknowledgement counts until 1.5 s before the floor expires.
+CONFIRMED_FOR_S = ADMISSION_FLOOR_HOLD_S - 1.5
 # Silent agents lose their permit within it, so a round that lasts longer
 # has met an agent that answers some calls only.
 ROUND_TIMEOUT_S = 2 * PERMIT_DURATION_S
@@ -89,7 +89,47 @@
 class _Confirmation:
     floor_tier: int
     agents: frozenset[str]
-    started_s: float
+    acked_s: float
+
+
+class _RoundState:
+    """Agents of a round and the times of their acknowledgements.
+
+    A round knows its agents from the start, so a server that joins the pool
+    needs a new one.
+    """
+
+    def __init__(
+        self, agents: dict[str, BackendServer], floor_round: FloorRound
+    ) -> None:
+        self.agents = agents
+        self.floor_round = floor_round
+        self.acked_s: dict[str, float] = {}
+
+    def record_ack(self, name: str, sent_s: float, now_s: float) -> None:
+        """Note an acknowledgement of a call that was sent at a time."""
+        self.floor_round.record_ack(name, now_s)
+        self.acked_s[name] = sent_s
+
+    def find_waiting(self, now_s: float) -> tuple[BackendServer, ...]:
+        """Return the agents to call.
+
+        While the round waits for a silent agent, the floors of the others
+        are renewed, because they would expire.
+        """
+        return tuple(
+            server
+            for name, server in self.agents.items()
+            if name not in self.acked_s
+            or now_s - self.acked_s[name] >= CONFIRMED_FOR_S / 2
+        )
+
+    def is_confirmed(self, now_s: float) -> bool:
+        """Return whether each agent has the floor now or no permit."""
+        return self.floor_round.is_confirmed(now_s) and all(
+            now_s - acked_s < CONFIRMED_FOR_S
+            for acked_s in self.acked_s.values()
+        )
 
 
 class FloorConfirmer:
@@ -159,7 +199,7 @@
         confirmed = self._confirmed.get(pool)
         if confirmed is None or confirmed.floor_tier > tier:
             return False
-        if now_s - confirmed.started_s >= CONFIRMED_FOR_S:
+        if now_s - confirmed.acked_s >= CONFIRMED_FOR_S:
             return False
         return self._find_agents(pool, now_s).keys() <= confirmed.agents
 
@@ -171,60 +211,50 @@
 
     async def _async_run_round(self, pool: str, tier: int) -> bool:
         started_s = monotonic_s()
-        agents = dict(self._find_agents(pool, started_s))
         self.rounds_started += 1
-        floor_round = self._create_round(tuple(agents), started_s)
-        waiting = dict(agents)
+        state = self._create_state(pool, started_s)
         while (now_s := monotonic_s()) - started_s < self._round_timeout_s:
-            if self._find_agents(pool, now_s).keys() - agents.keys():
-                # A round knows its agents from the start, so a server that
-                # joins the pool needs a new one.
-                agents = dict(self._agents[pool])
-                waiting = dict(agents)
-                floor_round = self._create_round(tuple(agents), now_s)
-            await self._async_call_all(waiting, tier, floor_round)
-            if floor_round.is_confirmed(monotonic_s()):
-                self._note(pool, tier, agents, waiting, started_s)
+            if self._find_agents(pool, now_s).keys() - state.agents.keys():
+                state = self._create_state(pool, now_s)
+            await self._async_call_agents(state, tier)
+            if state.is_confirmed(monotonic_s()):
+                self._note(pool, tier, state)
                 return True
             await sleep(RETRY_INTERVAL_S)
         return False
 
-    async def _async_call_all(
-        self,
-        waiting: dict[str, BackendServer],
-        tier: int,
-        floor_round: FloorRound,
-    ) -> None:
-        servers = tuple(waiting.values())
+    def _create_state(self, pool: str, now_s: float) -> _RoundState:
+        agents = dict(self._find_agents(pool, now_s))
+        return _RoundState(agents, self._create_round(tuple(agents), now_s))
+
+    async def _async_call_agents(self, state: _RoundState, tier: int) -> None:
+        sent_s = monotonic_s()
+        servers = state.find_waiting(sent_s)
         self.messages_sent += len(servers)
         acks = await gather(
-            *(self._client.async_set_floor(item, tier) for item in servers)
+            *(self._client.async_set_floor(item, tier) for item in servers),
+            return_exceptions=True,
         )
         now_s = monotonic_s()
         for server, ack in zip(servers, acks, strict=True):
-            if ack:
-                floor_round.record_ack(server.name, now_s)
-                del waiting[server.name]
+            if ack is True:
+                state.record_ack(server.name, sent_s, now_s)
             else:
-                floor_round.record_unreachable(server.name, now_s)
+                state.floor_round.record_unreachable(server.name, now_s)
 
-    def _note(
-        self,
-        pool: str,
-        tier: int,
-        agents: dict[str, BackendServer],
-        silent: dict[str, BackendServer],
-        started_s: float,
-    ) -> None:
+    def _note(self, pool: str, tier: int, state: _RoundState) -> None:
+        now_s = monotonic_s()
         self._confirmed[pool] = _Confirmation(
-            tier, frozenset(agents), started_s
+            tier,
+            frozenset(state.agents),
+            min(state.acked_s.values(), default=now_s),
         )
         listed = {
             server.name
-            for server in self._cluster.backend_servers(pool, monotonic_s())
+            for server in self._cluster.backend_servers(pool, now_s)
         }
-        for name in silent.keys() - listed:
-            del self._agents[pool][name]
+        for name in state.agents.keys() - state.acked_s.keys() - listed:
+            self._agents[pool].pop(name, None)
         self._client.keep_only(
             frozenset(
                 server.control_address
--- a/tests/gateway/test_shedding.py
+++ b/tests/gateway/test_shedding.py
@@ -13,6 +13,7 @@
 from azurewick.control.control_grpc import AgentControlBase
 from azurewick.control.control_pb2 import AdmissionFloorReply
 from azurewick.errors import ErrorCode
+from azurewick.gateway.shedding import _RoundState
 from azurewick.gateway.shedding import FloorConfirmer
 from azurewick.gateway.shedding import GrpcFloorClient
 from azurewick.gateway.wiring import AllAgentsRound
@@ -156,9 +157,30 @@
     def expire(self):
         for pool, item in tuple(self.confirmer._confirmed.items()):
             self.confirmer._confirmed[pool] = type(item)(
-                item.floor_tier, item.agents, item.started_s - 1000.0
+                item.floor_tier, item.agents, item.acked_s - 1000.0
             )
 
+    async def test_floors_are_renewed_while_a_round_waits(self):
+        now_s = 100.0
+        state = _RoundState(
+            dict(self.cluster.servers),
+            AllAgentsRound(tuple(self.cluster.servers), now_s),
+        )
+        state.record_ack("agent-1", now_s, now_s)
+        state.floor_round.record_unreachable("agent-2", now_s)
+        for later_s, names, is_confirmed in (
+            (0.1, ["agent-2"], False),
+            (2.0, ["agent-1", "agent-2"], False),
+            # The permit of agent-2 has ended, but also agent-1's floor.
+            (5.1, ["agent-1", "agent-2"], False),
+        ):
+            time_s = now_s + later_s
+            waiting = [item.name for item in state.find_waiting(time_s)]
+            self.assertEqual(names, waiting)
+            self.assertEqual(is_confirmed, state.is_confirmed(time_s))
+        state.record_ack("agent-1", now_s + 5.0, now_s + 5.0)
+        self.assertTrue(state.is_confirmed(now_s + 5.1))
+
     async def test_silent_server_that_left_is_waited_for_once(self):
         self.assertTrue(await self.confirmer.async_confirm("models", 0))
         del self.cluster.servers["agent-1"]
--- a/tests/gateway/test_streaming.py
+++ b/tests/gateway/test_streaming.py
@@ -139,43 +139,61 @@
         self.assertEqual(0, buffer.kept_bytes)
 
 
+TOTAL_BYTES = 64 * 1_048_576
+
+
 class SlowCallerTest(IsolatedAsyncioTestCase):
     """Guards against a caller that doesn't read and fills the memory."""
 
-    async def test_agent_is_paused_and_other_callers_are_not(self):
-        total = 64 * 1_048_576
-        sent = 0
+    def create_agent(self) -> FakeAgent:
+        """Return an agent that counts what it could send of 64 MiB."""
+        agent = FakeAgent("agent-1")
+        agent.sent_bytes = 0
 
         async def async_stream(agent, request):
-            nonlocal sent
             response = web.StreamResponse(
                 headers={"X-Azurewick-Outcome": "ran"}
             )
             await response.prepare(request)
-            while sent < total:
+            while agent.sent_bytes < TOTAL_BYTES:
                 await response.write(b"a" * 65_536)
-                sent += 65_536
+                agent.sent_bytes += 65_536
             return response
 
-        slow = FakeAgent("agent-1", behaviour=async_stream)
-        other = FakeAgent("agent-2", "shop")
-        async with GatewayBench(slow, other) as bench:
-            with socket.create_connection(
-                ("127.0.0.1", bench.gateway.port)
-            ) as caller:
-                body = b"{}"
-                caller.sendall(
-                    b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
-                    b"Authorization: Bearer north-key\r\n"
-                    b"X-Request-Class: quick\r\n"
-                    b"Content-Length: 2\r\n\r\n" + body
-                )
-                await self.async_wait_until_paused(lambda: sent)
-                self.assertLess(sent, total / 2)
+        agent.behaviour = async_stream
+        return agent
+
+    def connect(self, bench: GatewayBench) -> socket.socket:
+        """Send a request; the caller doesn't read the answer."""
+        caller = socket.create_connection(("127.0.0.1", bench.gateway.port))
+        caller.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+            b"Authorization: Bearer north-key\r\n"
+            b"X-Request-Class: quick\r\n"
+            b"Content-Length: 2\r\n\r\n{}"
+        )
+        return caller
+
+    async def test_agent_is_paused_and_other_callers_are_not(self):
+        agent, other = self.create_agent(), FakeAgent("agent-2", "shop")
+        async with GatewayBench(agent, other) as bench:
+            with self.connect(bench):
+                await self.async_wait_until_paused(lambda: agent.sent_bytes)
+                self.assertLess(agent.sent_bytes, TOTAL_BYTES / 2)
                 (running,) = bench.gateway.executor.requests
-                self.assertLess(running.buffer.kept_bytes, 400_000)
+                self.assertLess(running.buffer.kept_bytes, 131_072)
                 self.assertEqual(200, (await bench.async_post("lookup"))[0])
 
+    async def test_caller_that_never_reads_is_cut_off(self):
+        agent = self.create_agent()
+        async with GatewayBench(agent) as bench:
+            bench.gateway.handler._responder._write_timeout_s = 0.1
+            with self.connect(bench):
+                async with timeout(GUARD_S):
+                    await agent.cancel_seen.wait()
+                    await bench.gateway.executor.requests.async_wait_idle()
+            self.assertLess(agent.sent_bytes, TOTAL_BYTES / 2)
+
     async def async_wait_until_paused(self, get_sent):
         async with timeout(GUARD_S):
             last, same = -1, 0
