Export crashes from the poison detector for peers

Sync carries fingerprints with source, incarnation and remaining time; the detector had no way to list them. A test covers their age at the peer. The test of broken streams no longer loops for ever when a stream is whole.

--- a/azurewick/poison/detector.py
+++ b/azurewick/poison/detector.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import islice
 from typing import Final
 
 # A request refused after its third crash costs few backend servers; two
@@ -17,6 +18,20 @@
 MAX_FINGERPRINTS: Final = 20_000
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Crash:
+    """Crash of a source at which a fingerprint was in flight.
+
+    remaining_s is the time until it is forgotten. A peer records it at its
+    own time now_s as of now_s + remaining_s - FORGET_AFTER_S.
+    """
+
+    fingerprint: str
+    source: str
+    incarnation: str
+    remaining_s: float
+
+
 @dataclass(slots=True)
 class _Record:
     """Crashes of one fingerprint: (source, incarnation) to time."""
@@ -80,6 +95,21 @@
         """Return whether a fingerprint was in flight at a crash."""
         return self.crash_count(fingerprint, now_s) > 0
 
+    def export(self, now_s: float, limit: int) -> list[Crash]:
+        """Return the crashes of the last changed fingerprints for peers."""
+        crashes = (
+            Crash(
+                fingerprint=fingerprint,
+                source=source,
+                incarnation=incarnation,
+                remaining_s=crashed_s + FORGET_AFTER_S - now_s,
+            )
+            for fingerprint, record in reversed(self._records.items())
+            for (source, incarnation), crashed_s in record.crashes.items()
+            if now_s - crashed_s < FORGET_AFTER_S
+        )
+        return list(islice(crashes, limit))
+
     def _remove_old(self, now_s: float) -> None:
         while self._records:
             record = next(iter(self._records.values()))
--- a/tests/gateway/test_faults.py
+++ b/tests/gateway/test_faults.py
@@ -230,8 +230,8 @@
                         agent.go_on.set()
                         rest = b""
                         with self.assertRaises(ClientPayloadError):
-                            while True:
-                                rest += await response.content.readany()
+                            while part := await response.content.readany():
+                                rest += part
                     event, _, data = rest.partition(b"\ndata: ")
                     self.assertEqual(b"event: error", event)
                     self.assertEqual(BROKEN, get_error(json.loads(data)))
--- a/tests/poison/test_detector.py
+++ b/tests/poison/test_detector.py
@@ -69,6 +69,25 @@
         self.crash(("c", "1"))
         self.assertFalse(self.detector.is_poison("bad", 0.0))
 
+    def test_peers_learn_crashes_with_their_age(self):
+        self.crash(("a", "1"), ("b", "1"), now_s=100.0)
+        self.detector.record_crash("c", "1", ["other", "bad"], 300.0)
+        self.assertEqual(2, len(self.detector.export(400.0, 2)))
+        peer = PoisonDetector()
+        for _ in range(2):
+            for crash in self.detector.export(400.0, 100):
+                peer.record_crash(
+                    crash.source,
+                    crash.incarnation,
+                    [crash.fingerprint],
+                    5000.0 + crash.remaining_s - FORGET_AFTER_S,
+                )
+        for later_s, count in ((0.0, 3), (599.0, 3), (600.0, 1), (800.0, 0)):
+            for detector, base_s in ((self.detector, 400.0), (peer, 5000.0)):
+                self.assertEqual(
+                    count, detector.crash_count("bad", base_s + later_s)
+                )
+
     def test_memory_is_bounded_and_old_records_leave_first(self):
         detector = PoisonDetector(max_fingerprints=100)
         for i in range(1000):
