--- a/azurewick/gateway/wiring.py
+++ b/azurewick/gateway/wiring.py
@@ -228,18 +228,22 @@
     def record_request(self, now_s: float) -> None:
         """Count a request."""
         self._requests.append(now_s)
+        self._remove_old(now_s)
 
     def try_retry(self, now_s: float) -> bool:
         """Count a retry if one is allowed; return whether it is."""
-        for times in (self._requests, self._retries):
-            while times and now_s - times[0] > self.WINDOW_S:
-                times.popleft()
+        self._remove_old(now_s)
         allowed = self.EXTRA_OFFERS + self.EXTRA_SHARE * len(self._requests)
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now_s)
         return True
 
+    def _remove_old(self, now_s: float) -> None:
+        for times in (self._requests, self._retries):
+            while times and now_s - times[0] > self.WINDOW_S:
+                times.popleft()
+
 
 class LeastOutstanding:
     """Router that chooses the server with the fewest own offers."""
