--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -17,6 +17,7 @@
 from azurewick.models import BackendServer
 from azurewick.models import LoadReport
 from azurewick.models import Offer
+from azurewick.models import RequestClass
 from azurewick.poison.placement import SuspectPlacement
 from azurewick.routing.models import OfferResult
 from azurewick.routing.models import OfferStatus
@@ -73,18 +74,51 @@
             return _missed_target()
         offer = self.build_offer(context, "")
         versions = {server.version for server in self._servers.values()}
-        version = self._components.versions.choose(offer, versions, now_s)
-        if version is None and context.request_class.version in versions:
-            version = context.request_class.version
-        if version is not None:
-            excluded |= self._find_closed_servers(offer, version)
-        name = self.router.choose(
-            offer, excluded=excluded, version=version, now_s=now_s
+        name = self._choose_server(
+            offer, context.request_class, versions, excluded, now_s
         )
         if name is None or name not in self._servers:
             return _no_server()
+        self._placement.start(context.fingerprint, context.request_id, name)
         return self._servers[name]
 
+    def _choose_server(
+        self,
+        offer: Offer,
+        request_class: RequestClass,
+        versions: set[str],
+        excluded: frozenset[str],
+        now_s: float,
+    ) -> str | None:
+        selector = self._components.versions
+        version = selector.choose(offer, versions, now_s)
+        if version is None and request_class.version in versions:
+            # Without a move the class stays on its configured version.
+            version = request_class.version
+        name = self._choose_server_of(offer, version, excluded, now_s)
+        if name is not None or version is None or not excluded:
+            return name
+        # All servers of the version have refused. Another version takes the
+        # request only if the selector names it, so that a refusal can't
+        # raise the share of a version under test.
+        other = selector.choose(offer, versions - {version}, now_s)
+        if other is None:
+            return None
+        return self._choose_server_of(offer, other, excluded, now_s)
+
+    def _choose_server_of(
+        self,
+        offer: Offer,
+        version: str | None,
+        excluded: frozenset[str],
+        now_s: float,
+    ) -> str | None:
+        if version is not None:
+            excluded |= self._find_closed_servers(offer, version)
+        return self.router.choose(
+            offer, excluded=excluded, version=version, now_s=now_s
+        )
+
     async def _async_choose_for_suspect(
         self, context: RequestContext, excluded: frozenset[str]
     ) -> BackendServer | AzurewickError:
@@ -104,7 +138,12 @@
                     step=Step.SELECT,
                 )
             name = self._placement.acquire(
-                context.fingerprint, context.request_id, names
+                context.fingerprint,
+                context.request_id,
+                names,
+                self._components.poison.crash_count(
+                    context.fingerprint, now_s
+                ),
             )
             if name is not None:
                 return self._servers[name]
@@ -129,9 +168,9 @@
             offer.request_class, version, names
         )
 
-    def release(self, context: RequestContext, server: BackendServer) -> None:
+    def release(self, context: RequestContext) -> None:
         """Note that an offer has ended."""
-        self._placement.release(context.request_id, server.name)
+        self._placement.release(context.fingerprint, context.request_id)
         self._suspect_ended.set()
 
     def build_offer(self, context: RequestContext, server: str) -> Offer:
@@ -139,7 +178,8 @@
         request_class = context.request_class
         report = self.reports.get(server)
         deadline_s = context.deadline_s
-        prefix_hashes = self._components.hash_prefix(context.body)
+        if context.prefix_hashes is None:
+            context.prefix_hashes = self._components.hash_prefix(context.body)
         return Offer(
             request_id=context.request_id,
             customer=context.customer.name,
@@ -163,9 +203,17 @@
             fingerprint=context.fingerprint,
             claim_key="" if request_class.repeatable else context.claim_key,
             incarnation="" if report is None else report.incarnation,
-            prefix_hashes=prefix_hashes,
+            prefix_hashes=context.prefix_hashes,
         )
 
+    def forget_incarnation(self, server: str) -> None:
+        """Send the next offers without the incarnation of an agent.
+
+        After a broken connection the agent may have restarted, and would
+        refuse offers for its former incarnation.
+        """
+        self.reports.pop(server, None)
+
     def take_load(
         self, response: ClientResponse, name: str
     ) -> LoadReport | None:
