--- a/azurewick/admission/batch_limit.py
+++ b/azurewick/admission/batch_limit.py
@@ -5,11 +5,12 @@
 import math
 from typing import Final
 
-# The limit grows only below this part of the target and shrinks above the
-# target; the gap keeps it from alternating.
-GROW_BELOW: Final = 0.9
-# Part of the target aimed at after a step was too slow.
-SHRINK_TO: Final = 0.95
+# The limit grows below the first part of the target and shrinks above the
+# second; the gap keeps it from alternating. The rest of the target is for
+# answers that happen to see more prefill than the average.
+GROW_BELOW: Final = 0.8
+SHRINK_AT: Final = 0.9
+SHRINK_TO: Final = 0.85
 # The target is an average over an answer. A single long prefill slows the
 # steps for a second or two and must not shrink the batch.
 TIME_CONSTANT_S: Final = 4.0
@@ -69,7 +70,7 @@
 
     def _adjust(self, target_s: float | None) -> None:
         measured_s = self._inter_token_s or 0.0
-        if target_s is not None and measured_s > target_s:
+        if target_s is not None and measured_s > SHRINK_AT * target_s:
             # Only the part of the limit that was used slowed the steps.
             used = min(self._limit, float(self._peak_running))
             wanted = max(
--- a/azurewick/admission/dispatch_window.py
+++ b/azurewick/admission/dispatch_window.py
@@ -4,10 +4,11 @@
 
 from typing import Final
 
-# An engine admits in order of arrival. With one prefill running and one
-# waiting it never idles, and all further requests stay in the tier queue,
-# where a higher tier still overtakes them.
-MAX_PREFILLS: Final = 2
+# An engine admits in order of arrival, and a long prefill delays all
+# requests behind it. With one request before its first token, all others
+# stay in the tier queue, where a higher tier overtakes them; the engine
+# decodes on during the round trip of less than a millisecond.
+MAX_PREFILLS: Final = 1
 
 
 class DispatchWindow:
--- a/bench/model/agent.py
+++ b/bench/model/agent.py
@@ -192,7 +192,7 @@
             version=self.server.version,
             running=len(self.running),
             queued=len(self.queue),
-            queued_work_s=self.queue.work_s,
+            queued_work_s=self.queue.work_s + self._prefill_left_s(),
             batch_limit=limit,
             prefill_tokens_per_s=self.rates.prefill_tokens_per_s,
             decode_tokens_per_s=self.rates.decode_tokens_per_s(limit),
@@ -240,6 +240,17 @@
             ),
         )
 
+    def _prefill_left_s(self) -> float:
+        """Return the expected rest of the prefills in the engine."""
+        left_s = 0.0
+        for item in self.prefilling.values():
+            tokens = item.offer.prompt_tokens - (
+                item.offer.expected_cached_tokens
+            )
+            left_s += tokens / self.rates.prefill_tokens_per_s
+            left_s -= self.clock.now_s - (item.dispatched_s or 0.0)
+        return max(0.0, left_s)
+
     def _refuse(
         self,
         items: list[QueuedRequest] | tuple[QueuedRequest, ...],
--- a/bench/model/run.py
+++ b/bench/model/run.py
@@ -43,6 +43,7 @@
 }
 SYNC_S: Final = 2.0
 CRASH_NOTICE_S: Final = 3.0
+STRAGGLER_SLOWDOWN: Final = 10.0
 DRAIN_S: Final = 150.0
 # Parts of the batch without prefill that the oracle is run with.
 ORACLE_BATCH_SHARES: Final = (0.35, 0.5, 0.65, 0.8)
@@ -90,7 +91,7 @@
     values: dict[str, object] = {
         "loads": FICELLE,
         "replicas": 5,
-        "warm_s": 40.0,
+        "warm_s": 80.0,
         **fields,
     }
     return Scenario(**values)  # type: ignore[arg-type]
@@ -104,7 +105,8 @@
     jobs: list[Job]
     trace: list[TraceEvent] = field(default_factory=list)
     floor_messages: int = 0
-    lost_by_tier: dict[int, int] = field(default_factory=dict)
+    # Requests on the server with the fault when it began.
+    affected: set[str] = field(default_factory=set)
 
     def good(self, tier: int | None = None) -> int:
         """Return the number of requests within their target."""
@@ -135,6 +137,15 @@
                 wasted += job.computed_tokens
         return wasted / max(1, needed)
 
+    def affected_part(self, tier: int) -> float:
+        """Return the part of a tier's requests that the fault hit."""
+        hit = sum(
+            job.request_id in self.affected and not job.is_good
+            for job in self.jobs
+            if job.tier == tier
+        )
+        return hit / max(1, self.offered(tier))
+
     def violations(self) -> int:
         """Return the number of tier rule violations."""
         return len(find_tier_violations(self.trace))
@@ -244,13 +255,9 @@
     for job in jobs:
         clock.call_at(job.arrival_s, gateways[job.gateway].handle, job)
     _schedule_syncs(scenario, clock, gateways)
-    _schedule_faults(scenario, clock, agents, gateways)
+    _schedule_faults(scenario, clock, agents, gateways, result.affected)
     clock.run(scenario.end_s + DRAIN_S)
     result.floor_messages = sum(item.floor_messages for item in gateways)
-    for job in result.jobs:
-        if job.lost:
-            lost = result.lost_by_tier.get(job.tier, 0)
-            result.lost_by_tier[job.tier] = lost + 1
     return result
 
 
@@ -318,23 +325,32 @@
     clock: VirtualClock,
     agents: dict[str, Agent],
     gateways: list[Gateway],
+    affected: set[str],
 ) -> None:
-    if scenario.straggler:
+    def slow_down() -> None:
         # A fast server, which has the largest share of the traffic.
-        straggler = agents["s000"].engine
-        clock.call_at(scenario.fault_s, straggler.set_slowdown, 10.0)
-    if not scenario.crash:
-        return
+        agent = agents["s000"]
+        affected.update(
+            name
+            for name, item in agent.offers.items()
+            if item.dispatched_s is not None
+        )
+        agent.engine.set_slowdown(STRAGGLER_SLOWDOWN)
 
     def crash() -> None:
+        # The worst moment is the one at which most requests are lost.
         victim = max(
             agents.values(),
             key=lambda agent: (len(agent.offers), agent.server.name),
         )
+        affected.update(victim.offers)
         victim.crash()
         for gateway in gateways:
             clock.call_later(
                 CRASH_NOTICE_S, gateway.record_crash, victim.server.name
             )
 
-    clock.call_at(scenario.fault_s, crash)
+    if scenario.straggler:
+        clock.call_at(scenario.fault_s, slow_down)
+    if scenario.crash:
+        clock.call_at(scenario.fault_s, crash)
--- /dev/null
+++ b/bench/prefill.py
@@ -0,0 +1,61 @@
+"""Wasted prefill against the needed prompt tokens."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from bench.model.figures import baseline_figures
+from bench.model.figures import cached_run
+from bench.model.figures import HELD_OUT
+from bench.model.figures import HELD_OUT_SEEDS
+from bench.model.figures import seeds_from
+from bench.model.figures import worst
+from bench.model.run import association
+from bench.model.run import ficelle
+from bench.model.run import ORACLE
+from bench.model.run import RunResult
+from bench.model.run import Scenario
+from bench.models import BenchRow
+
+# The needed tokens are those that one cache with the memory of the whole
+# pool misses, so that nothing above them is unavoidable.
+BOUND: Final = 0.05
+BASELINE_PART: Final = 0.5
+
+
+def run(seed: int) -> list[BenchRow]:
+    """Return the rows of the area."""
+    rows: list[BenchRow] = []
+    for load in (0.7, 1.0, 1.5):
+        for name, scenario in (
+            ("association", association(load=load, warm_s=30.0)),
+            ("ficelle", ficelle(load=load)),
+        ):
+            rows += _rows(f"prefill.{name}.load_{load}", scenario, seed)
+    return rows
+
+
+def _rows(name: str, scenario: Scenario, seed: int) -> list[BenchRow]:
+    figure = RunResult.wasted_prefill
+    baseline = baseline_figures(scenario, seed, figure)
+    bound = min(BOUND, BASELINE_PART * min(baseline.values()))
+    oracle = figure(cached_run(scenario, ORACLE, seed))
+    rows = []
+    for row_name, seeds in (
+        (name, seeds_from(seed)),
+        (name + HELD_OUT, HELD_OUT_SEEDS),
+    ):
+        value = worst(scenario, seeds, figure, largest=True)
+        rows.append(
+            BenchRow(
+                name=row_name,
+                seed=seed,
+                figure=value,
+                unit="of needed",
+                bound=bound,
+                baseline=baseline if row_name == name else {},
+                oracle=oracle if row_name == name else None,
+                ok=value <= bound,
+            )
+        )
+    return rows
