Refuse at the agent what the running prefill delays too long

Cause: an offer to an agent whose engine was in a long prefill was queued and missed its target; a straggler was noticed only by later reports. Change: the rest of the running prefill counts as waiting, a late prefill as one that takes as long again, and slower steps lower the prefill rate.

--- a/azurewick/admission/dispatch_window.py
+++ b/azurewick/admission/dispatch_window.py
@@ -25,3 +25,14 @@
         the batch limit.
         """
         return running < limit and prefilling < self._max_prefills
+
+
+def remaining_s(expected_s: float, elapsed_s: float) -> float:
+    """Return the expected rest of a prefill.
+
+    One that takes longer than expected is expected to take as long again
+    as it has been late, so that a straggler refuses work at once.
+    """
+    if elapsed_s <= expected_s:
+        return expected_s - elapsed_s
+    return elapsed_s - expected_s
--- a/azurewick/admission/tier_queue.py
+++ b/azurewick/admission/tier_queue.py
@@ -90,9 +90,14 @@
             )
         )
 
-    def offer(self, item: QueuedRequest, now_s: float) -> QueueDecision:
-        """Queue a request, or refuse it when it can't meet its target."""
-        wait_s = self.wait_s(item.customer, item.tier)
+    def offer(
+        self, item: QueuedRequest, now_s: float, busy_s: float = 0.0
+    ) -> QueueDecision:
+        """Queue a request, or refuse it when it can't meet its target.
+
+        busy_s is the time until the engine can begin another prefill.
+        """
+        wait_s = busy_s + self.wait_s(item.customer, item.tier)
         if (
             item.deadline_s is not None
             and now_s + wait_s + item.target_s > item.deadline_s
--- a/azurewick/routing/estimator.py
+++ b/azurewick/routing/estimator.py
@@ -21,6 +21,9 @@
 # The relation between batch size and step time changes only with the
 # hardware or the version, so it is learned over a longer time.
 SHAPE_TIME_CONSTANT_S: Final = 30.0
+# Steps slower than usual by this factor are not explained by the prefills
+# between them.
+SLOWDOWN_FACTOR: Final = 4.0
 # Batch size at which a step takes twice as long as an empty one.
 DEFAULT_HALF_BATCH: Final = 32.0
 MIN_HALF_BATCH: Final = 4.0
@@ -95,14 +98,22 @@
         self._half_batch = DEFAULT_HALF_BATCH
         # Step time over (half batch + running).
         self._slope_s = inter_token_s / (self._half_batch + 1.0)
+        self._usual_slope_s = self._slope_s
         self._last_decode_s: float | None = None
         self._weight = 0.0
         self._sum_x = self._sum_y = self._sum_xx = self._sum_xy = 0.0
 
     @property
     def prefill_tokens_per_s(self) -> float:
-        """Return the learned prompt tokens a second."""
-        return self._prefill_tokens_per_s
+        """Return the learned prompt tokens a second.
+
+        Prefills are rare against decode steps. When the steps have become
+        much slower, so have the prefills.
+        """
+        slowdown = self._slope_s / self._usual_slope_s
+        if slowdown < SLOWDOWN_FACTOR:
+            return self._prefill_tokens_per_s
+        return self._prefill_tokens_per_s / slowdown
 
     def record_prefill(self, tokens: int, duration_s: float) -> None:
         """Record the prefill of tokens that no cache held."""
@@ -131,6 +142,8 @@
         weight = 1.0 - math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
         slope_s = inter_token_s / (self._half_batch + running)
         self._slope_s += min(0.5, weight) * (slope_s - self._slope_s)
+        weight = 1.0 - math.exp(-elapsed_s / SHAPE_TIME_CONSTANT_S)
+        self._usual_slope_s += weight * (slope_s - self._usual_slope_s)
 
     def inter_token_s(self, running: int) -> float:
         """Return the expected time between tokens at a batch size."""
@@ -169,4 +182,6 @@
         before = self._half_batch
         self._half_batch += 0.05 * (half_batch - before)
         # Keep the estimate at the present batch size unchanged.
-        self._slope_s *= (before + x) / (self._half_batch + x)
+        change = (before + x) / (self._half_batch + x)
+        self._slope_s *= change
+        self._usual_slope_s *= change
--- a/bench/model/oracle.py
+++ b/bench/model/oracle.py
@@ -4,9 +4,11 @@
 
 import heapq
 
+from azurewick.const import LOWEST_TIER
 from bench.model.clock import VirtualClock
 from bench.model.engine import Engine
 from bench.model.engine import EngineSpeed
+from bench.model.trace import RULE_WINDOW_S
 from bench.model.workload import Job
 
 # Requests of a tier compared for their cached prefix on one engine.
@@ -46,7 +48,8 @@
     """Dispatch tiers in order and, inside a tier, the shortest first.
 
     A request is assigned to an engine only when that has a free place, and
-    is dropped as soon as no engine could meet its target.
+    is dropped when the engine can't meet its target. The tier rule holds:
+    for a second after a request was dropped no lower tier is dispatched.
     """
 
     def __init__(
@@ -60,6 +63,8 @@
         self._tiers: dict[int, list[tuple[float, int, Job]]] = {}
         self._sequence = 0
         self.servers = [OracleServer(clock, speed, self) for speed in speeds]
+        self._floor = LOWEST_TIER
+        self._floor_until_s = 0.0
         self._homes: dict[str, OracleServer] = {}
         # Prefill slows decoding, so that less than the batch without prefill
         # keeps the inter-token target.
@@ -111,13 +116,15 @@
 
     def _take(self, server: OracleServer) -> Job | None:
         for tier in sorted(self._tiers):
+            if tier > self._floor and self._clock.now_s <= self._floor_until_s:
+                return None
             heap = self._tiers[tier]
             taken: list[tuple[float, int, Job]] = []
             others: list[tuple[float, int, Job]] = []
             while heap and len(taken) < LOOKAHEAD:
                 entry = heapq.heappop(heap)
                 if not self._is_feasible(entry[2], server):
-                    entry[2].shed = True
+                    self._shed(entry[2])
                 elif self._is_at_home(entry[2], server):
                     taken.append(entry)
                 else:
@@ -140,6 +147,19 @@
             return best[2]
         return None
 
+    def _shed(self, job: Job) -> None:
+        """Shed a request; the tier rule holds for the oracle too."""
+        job.shed = True
+        for tier in self._tiers:
+            if tier > job.tier:
+                for _, _, lower in self._tiers[tier]:
+                    lower.shed = True
+                self._tiers[tier].clear()
+        if self._clock.now_s > self._floor_until_s:
+            self._floor = job.tier
+        self._floor = min(self._floor, job.tier)
+        self._floor_until_s = self._clock.now_s + RULE_WINDOW_S
+
     def _is_at_home(self, job: Job, server: OracleServer) -> bool:
         """Return whether a request should go to this server.
 
