--- a/azurewick/routing/affinity.py
+++ b/azurewick/routing/affinity.py
@@ -271,7 +271,10 @@
             del self._locations[key]
 
     def _class(self, name: str) -> _ClassPrefixes:
-        return self._classes.setdefault(name, _ClassPrefixes())
+        prefixes = self._classes.get(name)
+        if prefixes is None:
+            prefixes = self._classes[name] = _ClassPrefixes()
+        return prefixes
 
     def _order(self, key: str) -> list[str]:
         order = self._orders.get(key)
--- a/bench/model/figures.py
+++ b/bench/model/figures.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from functools import lru_cache
+from functools import cache
 from typing import Final
 
 from bench.model.run import AZUREWICK
@@ -23,7 +23,7 @@
 Figure = Callable[[RunResult], float]
 
 
-@lru_cache(maxsize=64)
+@cache
 def cached_run(scenario: Scenario, policy: str, seed: int) -> RunResult:
     """Run a scenario once for all the rows that need it."""
     return run(scenario, policy, seed)
