Drop the weights of the rendezvous and prefer homes more

Cause: weights learned from prefill rates moved the homes during the first minute. Change: plain rendezvous; the home's discount is 6 times the saved seconds.

--- a/azurewick/routing/affinity.py
+++ b/azurewick/routing/affinity.py
@@ -9,17 +9,11 @@
 from dataclasses import field
 from enum import StrEnum
 from hashlib import blake2b
-import math
-from statistics import median
 from typing import Final
 
 BYTES_PER_TOKEN: Final = 4
 FIRST_PREFIX_BYTES: Final = 512
 MAX_PREFIX_HASHES: Final = 24
-WEIGHT_TOLERANCE: Final = 0.75
-WEIGHT_SMOOTHING: Final = 0.1
-MAX_WEIGHT: Final = 1
-MIN_WEIGHT: Final = -3
 MAX_LOCATIONS: Final = 30_000
 # More than two, for servers that are excluded or suspected.
 HOME_CANDIDATES: Final = 5
@@ -60,18 +54,14 @@
     return int(FIRST_PREFIX_BYTES * 2 ** (depth / 2)) // BYTES_PER_TOKEN
 
 
-def rendezvous_order(key: str, weights: Mapping[str, float]) -> list[str]:
-    """Return names in their order for a key, by weighted rendezvous.
-
-    A name comes first for a share of the keys that is its weight's share.
-    """
-
-    def score(name: str) -> float:
-        digest = blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
-        uniform = (int.from_bytes(digest) + 1) / (2**64 + 1)
-        return -math.log(uniform) / weights[name]
-
-    return sorted(weights, key=score)
+def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
+    """Return the names in the order of their hashes for a key."""
+    return sorted(
+        names,
+        key=lambda name: blake2b(
+            f"{key}/{name}".encode(), digest_size=8
+        ).digest(),
+    )
 
 
 class Placement(StrEnum):
@@ -149,32 +139,15 @@
 
     def __init__(self, max_locations: int = MAX_LOCATIONS) -> None:
         self._max_locations = max_locations
-        self._weights: dict[str, float] = {}
-        self._ratios: dict[str, float] = {}
+        self._names: list[str] = []
         self._orders: dict[str, list[str]] = {}
         self._classes: dict[str, _ClassPrefixes] = {}
         self._locations: OrderedDict[str, str] = OrderedDict()
 
-    def update_servers(self, rates: Mapping[str, float]) -> None:
-        """Replace the servers; a rate is a server's prefill rate.
-
-        A server's weight is a power of two that follows its rate, against
-        the median, slowly: all gateways must agree on the homes, and a home
-        that moves loses its cache.
-        """
-        middle = median(rates.values()) if rates else 1.0
-        weights = {}
-        for name in sorted(rates):
-            ratio = math.log2(max(rates[name], 1e-3) / max(middle, 1e-3))
-            before = self._ratios.get(name, ratio)
-            ratio = before + WEIGHT_SMOOTHING * (ratio - before)
-            self._ratios[name] = ratio
-            weight = self._weights.get(name, 1.0)
-            if abs(ratio - math.log2(weight)) > WEIGHT_TOLERANCE:
-                weight = 2.0 ** min(MAX_WEIGHT, max(MIN_WEIGHT, round(ratio)))
-            weights[name] = weight
-        if weights != self._weights:
-            self._weights = weights
+    def update_servers(self, names: Iterable[str]) -> None:
+        """Replace the servers."""
+        if (ordered := sorted(names)) != self._names:
+            self._names = ordered
             self._orders.clear()
 
     def plan(
@@ -281,7 +254,7 @@
         if order is None:
             if len(self._orders) > self._max_locations:
                 self._orders.clear()
-            order = rendezvous_order(key, self._weights)[:HOME_CANDIDATES]
+            order = rendezvous_order(key, self._names)[:HOME_CANDIDATES]
             self._orders[key] = order
         return order
 
--- a/azurewick/routing/selector.py
+++ b/azurewick/routing/selector.py
@@ -28,8 +28,7 @@
 # A prompt's prefill delays the request itself and those after it.
 PREFILL_WEIGHT: Final = 3.0
 # A prefix computed at its home serves the later requests of all gateways.
-HOME_WEIGHT: Final = 2.0
-WEIGHTS_INTERVAL_S: Final = 2.0
+HOME_WEIGHT: Final = 6.0
 # Part of the decode time that counts: it keeps a server's time occupied,
 # but later requests wait for it only in part.
 DECODE_WEIGHT: Final = 0.1
@@ -59,7 +58,6 @@
         self._servers: dict[str, BackendServer] = {}
         self._estimates: dict[str, ServerEstimate] = {}
         self._affinity = PrefixAffinity()
-        self._weights_due_s = 0.0
         self._plans: dict[str, PrefixPlan | None] = {}
 
     def update_servers(self, servers: Sequence[BackendServer]) -> None:
@@ -72,7 +70,7 @@
             name: self._estimates.get(name) or ServerEstimate()
             for name in self._servers
         }
-        self._update_weights()
+        self._affinity.update_servers(self._servers)
 
     def record_report(self, report: LoadReport, now_s: float) -> None:
         """Record a load report that arrived at now_s."""
@@ -84,9 +82,6 @@
             return
         if before is not None and before.incarnation != report.incarnation:
             self._affinity.forget_server(report.backend_server)
-        if now_s >= self._weights_due_s:
-            self._weights_due_s = now_s + WEIGHTS_INTERVAL_S
-            self._update_weights()
 
     def choose(
         self,
@@ -159,14 +154,6 @@
                 offer.request_class, plan, name, result.cached_tokens
             )
 
-    def _update_weights(self) -> None:
-        self._affinity.update_servers(
-            {
-                name: estimate.prefill_tokens_per_s
-                for name, estimate in self._estimates.items()
-            }
-        )
-
     def _plan(self, offer: Offer, names: Collection[str]) -> PrefixPlan | None:
         return self._affinity.plan(
             offer.request_class,
