--- a/azurewick/routing/affinity.py
+++ b/azurewick/routing/affinity.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
