--- a/bench/model/agent.py
+++ b/bench/model/agent.py
@@ -7,6 +7,7 @@
 
 from azurewick.admission.batch_limit import BatchLimit
 from azurewick.admission.dispatch_window import DispatchWindow
+from azurewick.admission.dispatch_window import remaining_s
 from azurewick.admission.floor import AdmissionFloor
 from azurewick.admission.models import QueuedRequest
 from azurewick.admission.tier_queue import TierQueue
@@ -143,7 +144,9 @@
         if offer.tier > self.floor.current(now_s):
             owner.on_refused(job, self, ErrorCode.DISPLACED)
             return
-        decision = self.queue.offer(self._build_item(job, offer), now_s)
+        decision = self.queue.offer(
+            self._build_item(job, offer), now_s, self._prefill_left_s()
+        )
         if not decision.accepted:
             owner.on_refused(
                 job, self, decision.reason or ErrorCode.OVERLOADED
@@ -192,7 +195,7 @@
             version=self.server.version,
             running=len(self.running),
             queued=len(self.queue),
-            queued_work_s=self.queue.work_s,
+            queued_work_s=self.queue.work_s + self._prefill_left_s(),
             batch_limit=limit,
             prefill_tokens_per_s=self.rates.prefill_tokens_per_s,
             decode_tokens_per_s=self.rates.decode_tokens_per_s(limit),
@@ -240,6 +243,19 @@
             ),
         )
 
+    def _prefill_left_s(self) -> float:
+        """Return the expected rest of the prefills in the engine."""
+        left_s = 0.0
+        for item in self.prefilling.values():
+            tokens = item.offer.prompt_tokens - (
+                item.offer.expected_cached_tokens
+            )
+            left_s += remaining_s(
+                tokens / self.rates.prefill_tokens_per_s,
+                self.clock.now_s - (item.dispatched_s or 0.0),
+            )
+        return left_s
+
     def _refuse(
         self,
         items: list[QueuedRequest] | tuple[QueuedRequest, ...],
