--- a/azurewick/control/digest.py
+++ b/azurewick/control/digest.py
@@ -18,6 +18,7 @@
 from azurewick.control.models import DigestPart
 from azurewick.control.models import EvidenceCount
 from azurewick.control.models import PoisonNotice
+from azurewick.control.models import with_age
 from azurewick.models import LoadReport
 
 # Entries that a node passes on each second at most, about 30 bytes each
@@ -46,6 +47,7 @@
     EntryKind.POISON: 4096,
 }
 ALL_KINDS = frozenset(EntryKind)
+_KIND_OF = {kind.value: kind for kind in EntryKind}
 URGENT_KINDS = frozenset({EntryKind.CUT, EntryKind.POISON})
 
 
@@ -76,7 +78,7 @@
         """Merge entries that a node sent, or local ones."""
         for report in part.loads:
             time_s = now_s - max(0.0, report.age_s)
-            value: Any = replace(report, age_s=0.0)
+            value: Any = with_age(report, 0.0)
             key: tuple[str, ...] = (EntryKind.LOAD, report.backend_server)
             self._put(key, value, time_s, source, now_s)
         for count in part.evidence:
@@ -171,7 +173,7 @@
         source: str,
         now_s: float,
     ) -> None:
-        kind = EntryKind(key[0])
+        kind: EntryKind = _KIND_OF[key[0]]
         new = _Entry(kind=kind, value=value, time_s=time_s)
         if _is_expired(new, now_s):
             return
@@ -258,12 +260,13 @@
             return value, time_s
         return old, entry.time_s
     if entry.kind is EntryKind.EVIDENCE:
-        merged = replace(
-            old,
-            requests=max(old.requests, value.requests),
-            failures=max(old.failures, value.failures),
-            slow=max(old.slow, value.slow),
-        )
+        merged = value
+        if (value.requests, value.failures, value.slow) < (
+            old.requests,
+            old.failures,
+            old.slow,
+        ):
+            merged = old
         return merged, max(entry.time_s, time_s)
     if entry.kind is EntryKind.CUT:
         return replace(old, reason=max(old.reason, value.reason)), time_s
@@ -283,7 +286,7 @@
 
 def _value_now(entry: _Entry, now_s: float) -> Any:
     if entry.kind is EntryKind.LOAD:
-        return replace(entry.value, age_s=max(0.0, now_s - entry.time_s))
+        return with_age(entry.value, max(0.0, now_s - entry.time_s))
     if entry.kind is EntryKind.POISON:
         return replace(entry.value, remaining_s=entry.time_s - now_s)
     return entry.value
--- a/azurewick/control/documents.py
+++ b/azurewick/control/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Collection
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
@@ -60,20 +61,32 @@
             self._digest = digest_of(self.items)
         return self._digest
 
-    def replace(self, items: Mapping[str, Any], revision: int) -> bool:
-        """Take all items at a revision; False when it is not larger."""
+    def replace(
+        self,
+        items: Mapping[str, Any],
+        revision: int,
+        changed: Collection[str] | None = None,
+    ) -> bool:
+        """Take all items at a revision; False when it is not larger.
+
+        changed are the keys that differ, when the caller knows them.
+        """
         if revision <= self.revision:
             return False
-        changed = frozenset(
-            key
-            for key in self.items.keys() | items.keys()
-            if self.items.get(key) != items.get(key)
-        )
+        if not self.revision:
+            # Nobody is sent a difference from before the first revision.
+            changed = ()
+        if changed is None:
+            changed = {
+                key
+                for key in self.items.keys() | items.keys()
+                if self.items.get(key) != items.get(key)
+            }
         if not self.revision:
             self._oldest_base = revision
         elif len(self._history) == MAX_HISTORY:
             self._oldest_base = self._history[0][0]
-        self._history.append((revision, changed))
+        self._history.append((revision, frozenset(changed)))
         self.items = items
         self.revision = revision
         self._digest = None
--- a/azurewick/control/models.py
+++ b/azurewick/control/models.py
@@ -54,3 +54,21 @@
     evidence: tuple[EvidenceCount, ...] = field(default=())
     cuts: tuple[CutNotice, ...] = field(default=())
     poison: tuple[PoisonNotice, ...] = field(default=())
+
+
+def with_age(report: LoadReport, age_s: float) -> LoadReport:
+    """Return a report with another age; dataclasses.replace takes 8 us."""
+    return LoadReport(
+        backend_server=report.backend_server,
+        incarnation=report.incarnation,
+        version=report.version,
+        running=report.running,
+        queued=report.queued,
+        queued_work_s=report.queued_work_s,
+        batch_limit=report.batch_limit,
+        prefill_tokens_per_s=report.prefill_tokens_per_s,
+        decode_tokens_per_s=report.decode_tokens_per_s,
+        floor_tier=report.floor_tier,
+        draining=report.draining,
+        age_s=age_s,
+    )
--- a/azurewick/control/replica.py
+++ b/azurewick/control/replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -80,15 +81,22 @@
         self._whole: dict[DocumentName, tuple[int, bytes]] = {}
 
     def accept(
-        self, name: DocumentName, items: Mapping[str, Any], revision: int
+        self,
+        name: DocumentName,
+        items: Mapping[str, Any],
+        revision: int,
+        changed: Collection[str] | None = None,
     ) -> bool:
-        """Take a document; False when it is not newer or not valid."""
+        """Take a document; False when it is not newer or not valid.
+
+        changed are the keys that differ, when the caller knows them.
+        """
         document = self.documents[name]
         if revision <= document.revision:
             return False
         if not self._validate(name, items, revision):
             return False
-        return document.replace(items, revision)
+        return document.replace(items, revision, changed)
 
     def build_request(
         self, peer: str, *, hold_s: float, with_digest: bool, now_s: float
@@ -213,18 +221,19 @@
         document = self.documents[name]
         if message.revision <= document.revision:
             return False
+        changes = _decode(message.changes)
         items = document.merge(
             Delta(
                 base=message.base,
                 revision=message.revision,
-                changes=_decode(message.changes),
+                changes=changes,
                 digest=message.digest,
             )
         )
         if items is None:
             self._needs_whole.add(name)
             return False
-        return self.accept(name, items, message.revision)
+        return self.accept(name, items, message.revision, changes)
 
     def _add_document(
         self, reply: pb.SyncReply, name: DocumentName, known: int
--- a/azurewick/control/sync.py
+++ b/azurewick/control/sync.py
@@ -279,9 +279,10 @@
         return False
 
     def _choose_peers(self, place: Place) -> list[Peer]:
-        peers = [_as_peer(gateway) for gateway in place.candidates]
-        if len(peers) >= ATTEMPTS_PER_ROUND:
-            return peers[:ATTEMPTS_PER_ROUND]
+        first = place.candidates[:ATTEMPTS_PER_ROUND]
+        peers = [_as_peer(gateway) for gateway in first]
+        if len(peers) == ATTEMPTS_PER_ROUND:
+            return peers
         fallback = self._random.sample(self._peers, len(self._peers))
         known = {peer.address for peer in peers}
         peers += [
--- a/azurewick/membership/coordinator.py
+++ b/azurewick/membership/coordinator.py
@@ -17,6 +17,7 @@
 
 from azurewick.configuration.snapshot import build_snapshot
 from azurewick.configuration.snapshot import ConfigurationSnapshot
+from azurewick.control import control_pb2 as pb
 from azurewick.control.channels import open_listener
 from azurewick.control.documents import DocumentName
 from azurewick.control.documents import join_configuration
@@ -27,12 +28,14 @@
 from azurewick.control.replica import Replica
 from azurewick.control.replica import ROLE_AGENT
 from azurewick.control.sync import SyncNode
+from azurewick.control.sync import SyncTransport
 from azurewick.control.topology import Place
 from azurewick.errors import AzurewickError
 from azurewick.membership.neighbours import Neighbours
 from azurewick.membership.prober import Prober
 from azurewick.membership.store_source import StoreSource
 from azurewick.membership.view import MembershipView
+from azurewick.membership.view import parse_instances
 from azurewick.models import BackendServer
 from azurewick.models import GatewayInstance
 from azurewick.models import LoadReport
@@ -52,7 +55,8 @@
 
     A gateway serves Sync on its control address; the two relays of each
     failure domain also watch the store. An agent only calls gateways. The
-    snapshot never goes back to a smaller revision.
+    snapshot never goes back to a smaller revision. With a transport of its
+    own it doesn't listen; calls then come through async_answer.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         clock: Callable[[], float],
         *,
         incarnation: str = "",
+        transport: SyncTransport | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -87,6 +92,7 @@
         self._source = StoreSource(
             store, self._take_stored, clock, self._random
         )
+        self._transport = transport
         self._sync: SyncNode | None = None
         self._server: Server | None = None
         self._bootstrapped = False
@@ -196,11 +202,22 @@
             interval_s=self._settings.sync_interval_s,
             clock=self._clock,
             random=self._random,
+            transport=self._transport,
         )
-        if self._settings.role != ROLE_AGENT:
+        if self._settings.role != ROLE_AGENT and self._transport is None:
             await self._async_listen(self._sync)
         self._tasks.append(asyncio.create_task(self._async_run(self._sync)))
 
+    async def async_answer(self, request: pb.SyncRequest) -> pb.SyncReply:
+        """Answer a Sync.
+
+        Raises ValueError when the request is not valid and
+        ConnectionRefusedError before the start.
+        """
+        if self._sync is None:
+            raise ConnectionRefusedError(self._settings.name)
+        return await self._sync.async_answer(request)
+
     async def async_stop(self) -> None:
         """End all tasks, answer held calls and close the connections."""
         for task in self._tasks:
@@ -345,7 +362,9 @@
             self.moves = tuple(items[key] for key in sorted(items))
         else:
             self._view.update_list(
-                document.items, document.revision, self._clock()
+                parse_instances(document.items, self._view.instances),
+                document.revision,
+                self._clock(),
             )
 
     def _merge(self, part: DigestPart, now_s: float) -> None:
--- a/azurewick/membership/view.py
+++ b/azurewick/membership/view.py
@@ -31,6 +31,9 @@
 # because the list may show it again while it still leaves.
 RETENTION_S = 600.0
 
+_STATES = {state.value: state for state in InstanceState}
+_KINDS = {kind.value: kind for kind in PoolKind}
+
 
 @dataclass(slots=True)
 class _Health:
@@ -49,7 +52,10 @@
 
 
 @dataclass(slots=True)
-class _Instances:
+class Instances:
+    """Listed instances by name, with those that leave."""
+
+    specs: Mapping[str, Mapping[str, Any]] = field(default_factory=dict)
     servers: dict[str, BackendServer] = field(default_factory=dict)
     gateways: dict[str, GatewayInstance] = field(default_factory=dict)
 
@@ -62,9 +68,17 @@
     """
 
     def __init__(self) -> None:
-        self._instances = _Instances()
+        self._instances = Instances()
         self._version = -1
         self._health: dict[str, _Health] = {}
+        # The answers to the questions of each request, until a change.
+        self._live_servers: dict[str, tuple[BackendServer, ...]] = {}
+        self._live_gateways: tuple[GatewayInstance, ...] | None = None
+
+    @property
+    def instances(self) -> Instances:
+        """Return the list in use."""
+        return self._instances
 
     @property
     def version(self) -> int:
@@ -72,17 +86,15 @@
         return self._version
 
     def update_list(
-        self,
-        specs: Mapping[str, Mapping[str, Any]],
-        version: int,
-        now_s: float,
+        self, instances: Instances, version: int, now_s: float
     ) -> bool:
-        """Take the specs of a list by name; False when it is not newer."""
+        """Take a list; False when it is not newer."""
         if version <= self._version:
             return False
         self._version = version
-        self._instances = _parse_instances(specs)
+        self._instances = instances
         self._forget(now_s)
+        self._clear_answers()
         return True
 
     def record_failure(
@@ -108,6 +120,7 @@
             )
         if is_lost:
             health.suspected = True
+            self._clear_answers()
             health.absent_until_s = now_s + health.absence_s
             maximum_s = (
                 MAXIMUM_GATEWAY_ABSENCE_S
@@ -128,6 +141,7 @@
         if health.suspected:
             health.suspected = False
             health.trial_until_s = now_s + TRIAL_S
+            self._clear_answers()
 
     def record_leaving(
         self, name: str, now_s: float, incarnation: str = ""
@@ -135,6 +149,7 @@
         """Take the notice of an instance that it leaves."""
         health = self._get_health(name, now_s)
         health.announced_leaving = True
+        self._clear_answers()
         health.reported_s = max(health.reported_s, now_s)
         if incarnation:
             health.incarnation = incarnation
@@ -152,6 +167,8 @@
         health.reported_s = read_s
         restarted = health.incarnation not in ("", report.incarnation)
         health.incarnation = report.incarnation
+        if restarted or health.announced_leaving != report.draining:
+            self._clear_answers()
         health.announced_leaving = report.draining
         if restarted:
             health.failures = 0
@@ -167,22 +184,28 @@
 
     def backend_servers(self, pool: str) -> tuple[BackendServer, ...]:
         """Return the servers of a pool that may get new work."""
-        return tuple(
-            server
-            for server in self._instances.servers.values()
-            if server.pool == pool
-            and server.state is InstanceState.LIVE
-            and self.is_available(server.name)
-        )
+        servers = self._live_servers.get(pool)
+        if servers is None:
+            servers = tuple(
+                server
+                for server in self._instances.servers.values()
+                if server.pool == pool
+                and server.state is InstanceState.LIVE
+                and self.is_available(server.name)
+            )
+            self._live_servers[pool] = servers
+        return servers
 
     def gateways(self) -> tuple[GatewayInstance, ...]:
         """Return the live gateways."""
-        return tuple(
-            gateway
-            for gateway in self._instances.gateways.values()
-            if gateway.state is InstanceState.LIVE
-            and self.is_available(gateway.name)
-        )
+        if self._live_gateways is None:
+            self._live_gateways = tuple(
+                gateway
+                for gateway in self._instances.gateways.values()
+                if gateway.state is InstanceState.LIVE
+                and self.is_available(gateway.name)
+            )
+        return self._live_gateways
 
     def servers_to_probe(
         self, limit: int, now_s: float
@@ -217,6 +240,10 @@
         ]
         return [name for _, name in sorted(waiting)]
 
+    def _clear_answers(self) -> None:
+        self._live_servers.clear()
+        self._live_gateways = None
+
     def _get_health(self, name: str, now_s: float) -> _Health:
         health = self._health.setdefault(name, _Health())
         health.touched_s = now_s
@@ -229,33 +256,52 @@
                 del self._health[name]
 
 
-def _parse_instances(specs: Mapping[str, Mapping[str, Any]]) -> _Instances:
-    """Return the instances; entries that are not valid are left out."""
-    instances = _Instances()
+def parse_instances(
+    specs: Mapping[str, Mapping[str, Any]],
+    previous: Instances | None = None,
+) -> Instances:
+    """Return the instances of specs by name, without invalid ones.
+
+    Instances whose spec is the same object as before are taken over.
+    """
+    instances = Instances(specs=specs)
+    known: Mapping[str, Mapping[str, Any]] = {}
+    if previous is not None:
+        known = previous.specs
     for name, spec in specs.items():
+        if previous is not None and known.get(name) is spec:
+            if name in previous.gateways:
+                instances.gateways[name] = previous.gateways[name]
+            elif name in previous.servers:
+                instances.servers[name] = previous.servers[name]
+            continue
         try:
-            if spec["role"] == "gateway":
-                instances.gateways[name] = GatewayInstance(
-                    **_parse_common(name, spec)
-                )
-            else:
-                instances.servers[name] = BackendServer(
-                    **_parse_common(name, spec),
-                    address=spec["address"],
-                    pool=spec["pool"],
-                    kind=PoolKind(spec["kind"]),
-                    version=spec["version"],
-                )
+            _parse_instance(instances, name, spec)
         except (KeyError, ValueError, TypeError):
             continue
     return instances
 
 
-def _parse_common(name: str, spec: Mapping[str, Any]) -> dict[str, Any]:
-    return {
-        "name": name,
-        "region": spec["region"],
-        "failure_domain": spec["failure_domain"],
-        "control_address": spec["control_address"],
-        "state": InstanceState(spec["state"]),
-    }
+def _parse_instance(
+    instances: Instances, name: str, spec: Mapping[str, Any]
+) -> None:
+    if spec["role"] == "gateway":
+        instances.gateways[name] = GatewayInstance(
+            name=name,
+            region=spec["region"],
+            failure_domain=spec["failure_domain"],
+            control_address=spec["control_address"],
+            state=_STATES[spec["state"]],
+        )
+        return
+    instances.servers[name] = BackendServer(
+        name=name,
+        region=spec["region"],
+        failure_domain=spec["failure_domain"],
+        control_address=spec["control_address"],
+        state=_STATES[spec["state"]],
+        address=spec["address"],
+        pool=spec["pool"],
+        kind=_KINDS[spec["kind"]],
+        version=spec["version"],
+    )
--- a/tests/membership/builders.py
+++ b/tests/membership/builders.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from azurewick.membership.view import parse_instances
 from azurewick.models import LoadReport
 from azurewick.settings.models import GatewaySettings
 
@@ -78,3 +79,7 @@
             return
         await asyncio.sleep(0.01)
     raise AssertionError("condition not met")
+
+
+def update_list(view, specs, version, now_s):
+    return view.update_list(parse_instances(specs), version, now_s)
--- a/tests/membership/test_prober.py
+++ b/tests/membership/test_prober.py
@@ -15,6 +15,7 @@
 from tests.control.builders import SilentServer
 from tests.membership.builders import agent_spec
 from tests.membership.builders import async_until
+from tests.membership.builders import update_list
 
 
 class Agent(AgentControlBase):
@@ -52,7 +53,7 @@
             "frozen": agent_spec(address=address),
             "refused": agent_spec(address="127.0.0.1:1"),
         }
-        view.update_list(specs, 1, 0.0)
+        update_list(view, specs, 1, 0.0)
         loop = asyncio.get_running_loop()
         loads = []
         prober = Prober(
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -6,8 +6,10 @@
 
 from azurewick.membership.view import MAXIMUM_ABSENCE_S
 from azurewick.membership.view import MembershipView
+from azurewick.membership.view import parse_instances
 from tests.membership.builders import agent_spec
 from tests.membership.builders import load_report
+from tests.membership.builders import update_list
 
 NAME = "agent-1"
 
@@ -33,8 +35,8 @@
 
 
 def listed(state, version):
-    return lambda view, at_s: view.update_list(
-        {NAME: agent_spec(state)}, version, at_s
+    return lambda view, at_s: update_list(
+        view, {NAME: agent_spec(state)}, version, at_s
     )
 
 
@@ -78,7 +80,7 @@
         ):
             with self.subTest(name):
                 view = MembershipView()
-                view.update_list({NAME: agent_spec()}, 10, 0.0)
+                update_list(view, {NAME: agent_spec()}, 10, 0.0)
                 for index, step in enumerate(steps):
                     if step is not None:
                         step(view, 100.0 + index * 0.5)
@@ -88,7 +90,7 @@
     def test_repeated_loss_is_absent_for_longer(self):
         """Guards against a server that comes and goes with each probe."""
         view = MembershipView()
-        view.update_list({NAME: agent_spec()}, 1, 0.0)
+        update_list(view, {NAME: agent_spec()}, 1, 0.0)
         now_s = 0.0
         changes = 0
         was_available = True
@@ -104,7 +106,7 @@
 
     def test_lost_server_is_probed_when_its_absence_is_over(self):
         view = MembershipView()
-        view.update_list({NAME: agent_spec()}, 1, 0.0)
+        update_list(view, {NAME: agent_spec()}, 1, 0.0)
         refuse(view, 0.0)
         probed_s = []
         for second in range(1, 60):
@@ -116,9 +118,23 @@
     def test_probes_go_to_failing_servers_only(self):
         view = MembershipView()
         specs = {f"agent-{n}": agent_spec() for n in range(3)}
-        view.update_list(specs, 1, 0.0)
+        update_list(view, specs, 1, 0.0)
         view.record_failure("agent-2", 2.0)
         view.record_failure(NAME, 1.0)
         view.record_failure("unlisted", 1.0)
         names = [server.name for server in view.servers_to_probe(8, 3.0)]
         self.assertEqual([NAME, "agent-2"], names)
+
+    def test_invalid_and_unchanged_instances(self):
+        """One bad entry must not hide the others, nor a change be missed."""
+        specs = {
+            "good": agent_spec(),
+            "bad": agent_spec() | {"state": "unknown"},
+            "worse": {},
+        }
+        first = parse_instances(specs)
+        self.assertEqual(["good"], list(first.servers))
+        changed = specs | {"bad": agent_spec("leaving")}
+        second = parse_instances(changed, first)
+        self.assertIs(first.servers["good"], second.servers["good"])
+        self.assertEqual("leaving", second.servers["bad"].state)
