--- a/azurewick/rollout/assessment.py
+++ b/azurewick/rollout/assessment.py
@@ -101,10 +101,15 @@
             self._marks.popleft()
 
     def requests_per_s(self, now_s: float) -> float:
-        """Return the recent rate of requests."""
-        if not self._marks or now_s <= self._marks[0][0]:
+        """Return the recent rate of requests.
+
+        The first counts are left out: they may be of a long time, as when a
+        controller takes over.
+        """
+        if len(self._marks) < 2 or now_s <= self._marks[0][0]:
             return 0.0
-        return self.recent().requests / (now_s - self._marks[0][0])
+        requests = self.total.requests - self._marks[1][1].requests
+        return requests / (now_s - self._marks[0][0])
 
     def recent(self) -> Counts:
         """Return the counts of the recent time."""
@@ -281,22 +286,28 @@
             stream.set_old_rate(_estimate_rate(stream.measure, counts))
 
     def _find_fault(self, servers: int) -> str:
+        """Return the reason for a rejection, or an empty text."""
         is_single = servers == 1 and len(self._servers) <= 1
-        for route, streams in self._streams.items():
-            for stream in streams:
-                if not stream.test.is_rejected(is_single=is_single):
-                    continue
-                if stream.measure is Measure.BROKEN and not (
-                    self._has_crashed(is_single)
-                ):
-                    continue
-                where = "" if route == ALL_ROUTES else f" on {route}"
-                count = getattr(self._new, stream.measure.value)
-                return (
-                    f"{stream.measure.value}{where}: {count} of"
-                    f" {self._new.requests} requests"
-                )
-        return ""
+        faults = [
+            (route, stream.measure)
+            for route, streams in self._streams.items()
+            for stream in streams
+            if stream.test.is_rejected(is_single=is_single)
+            and (
+                stream.measure is not Measure.BROKEN
+                or self._has_crashed(is_single)
+            )
+        ]
+        if not faults:
+            return ""
+        measure = faults[0][1]
+        count = getattr(self._new, measure.value)
+        reason = f"{measure.value}: {count} of {self._new.requests} requests"
+        routes = {route for route, _ in faults if route != ALL_ROUTES}
+        # The streams are those of all routes together and of each route.
+        if len(routes) == 1 and len(self._streams) > 2:
+            reason += f", on {routes.pop()} alone"
+        return reason
 
     def _has_crashed(self, is_single: bool) -> bool:
         # Several gateways see the same crash, so the largest count of one
--- a/azurewick/rollout/planner.py
+++ b/azurewick/rollout/planner.py
@@ -91,12 +91,20 @@
     """
 
     def __init__(self, move: VersionMove) -> None:
-        self._assessor = MoveAssessor(move.request_class, move.version)
+        self.assessor = MoveAssessor(move.request_class, move.version)
         self._servers = move.servers
+        self._began_s = inf
+        self._has_evidence = False
 
     def update(self, rows: Iterable[EvidenceRow], now_s: float) -> None:
-        """Add evidence."""
-        self._assessor.update(rows, now_s)
+        """Add evidence; the first counts can't speak for the present step.
+
+        They may be of earlier steps, which another controller led.
+        """
+        self.assessor.update(rows, now_s)
+        if not self._has_evidence and self.assessor.class_requests > 0:
+            self._has_evidence = True
+            self.assessor.restart_acceptance()
 
     def decide(
         self, move: VersionMove, fleet: FleetSize, now_s: float
@@ -107,32 +115,31 @@
         """
         if not move.is_progressing:
             return move
+        self._began_s = min(self._began_s, now_s)
         if move.started_s <= 0:
             return self._start(move, fleet, now_s)
         self._servers = min(move.servers, fleet.new_servers) or (
             fleet.new_servers
         )
-        assessment = self._assessor.assess(
+        assessment = self.assessor.assess(
             self._servers, min_route_share=_min_route_share(move.phase)
         )
         if assessment.verdict is Verdict.REJECTED:
             return self.roll_back(move, assessment.reason)
         moved = self._advance(move, fleet, assessment, now_s)
         if moved is not move:
-            self._assessor.restart_acceptance()
+            self.assessor.restart_acceptance()
             moved = replace(moved, evidence=self._evidence())
         notice = self._notice(moved, fleet, now_s)
         # The figures in a notice change with each step; a write for each
         # would only cost calls of the store.
-        if bool(notice) == bool(move.notice):
-            notice = move.notice
-        return (
-            moved if notice == moved.notice else replace(moved, notice=notice)
-        )
+        if notice.partition(":")[0] == moved.notice.partition(":")[0]:
+            return moved
+        return replace(moved, notice=notice)
 
     def review(self, decided: VersionMove) -> VersionMove:
         """Return a decision that is not written yet, or a rollback."""
-        assessment = self._assessor.assess(self._servers)
+        assessment = self.assessor.assess(self._servers)
         if not decided.is_progressing or (
             assessment.verdict is not Verdict.REJECTED
         ):
@@ -274,22 +281,17 @@
             return move.notice
         if fleet.new_servers == 0:
             return f"no live server of version {move.version}"
-        next_shares = [s for s in ramp_shares(fleet) if s > move.share]
         capacity = self._capacity_share(fleet)
-        if (
-            move.phase is MovePhase.RAMP
-            and next_shares
-            and (next_shares[0] > capacity)
-        ):
+        if capacity < 1.0:
             return (
-                f"{fleet.new_servers} servers of version {move.version} can"
-                f" take {capacity:.0%} of the requests"
+                f"too few servers: {fleet.new_servers} of version"
+                f" {move.version} can take {capacity:.0%} of the requests"
             )
         left_s = move.by_time_s - now_s
         needed_s = self.remaining_s(move, fleet, now_s)
         if move.phase is MovePhase.RAMP and move.share >= 1.0:
             needed_s = 0.0
-        if needed_s <= left_s or self._is_rate_unknown(move, now_s):
+        if needed_s <= left_s or self._is_rate_unknown(now_s):
             return ""
         needed = "more requests" if needed_s == inf else f"{needed_s:.0f} s"
         return (
@@ -297,11 +299,9 @@
             f" move needs {needed}"
         )
 
-    def _is_rate_unknown(self, move: VersionMove, now_s: float) -> bool:
+    def _is_rate_unknown(self, now_s: float) -> bool:
         """Return whether it is too early to know the rate of requests."""
-        if self._assessor.requests_per_s(now_s) > 0:
-            return False
-        return now_s - move.phase_since_s < 2 * CONTROL_DELAY_S
+        return now_s - self._began_s < 2 * CONTROL_DELAY_S
 
     def _capacity_share(self, fleet: FleetSize) -> float:
         most = max(fleet.new_servers, fleet.old_servers, 1)
@@ -323,24 +323,22 @@
         return self._time_s(requests, share, fleet, now_s)
 
     def _requests_to_accept(self, phase: MovePhase) -> float:
-        route_share = self._assessor.rarest_route_share(
-            _min_route_share(phase)
-        )
+        route_share = self.assessor.rarest_route_share(_min_route_share(phase))
         return max(REQUESTS_TO_ACCEPT, ROUTE_REQUESTS_TO_ACCEPT / route_share)
 
     def _time_s(
         self, requests: float, share: float, fleet: FleetSize, now_s: float
     ) -> float:
-        rate_per_s = share * self._assessor.requests_per_s(now_s)
+        rate_per_s = share * self.assessor.requests_per_s(now_s)
         if rate_per_s <= 0:
             return inf
-        if self._assessor.has_failing_server:
+        if self.assessor.has_failing_server:
             servers = _servers_in_use(share, fleet)
             requests *= servers / (servers - 1)
         return max(MIN_STEP_S, requests / rate_per_s) + CONTROL_DELAY_S
 
     def _evidence(self) -> dict[str, int]:
-        counts = self._assessor.new_counts
+        counts = self.assessor.new_counts
         return {
             "requests": counts.requests,
             "failures": counts.failures,
--- /dev/null
+++ b/tests/rollout/test_assessment.py
@@ -0,0 +1,191 @@
+"""Tests of the assessment of a version."""
+
+from __future__ import annotations
+
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from azurewick.rollout.assessment import MoveAssessor
+from azurewick.rollout.assessment import Verdict
+from tests.rollout.builders import NEW
+from tests.rollout.builders import OLD
+from tests.rollout.builders import Traffic
+
+BAD = {"requests": 1, "failures": 1}
+SLOW = {"requests": 1, "slow": 1}
+GOOD = {"requests": 1}
+
+
+class AssessmentTest(TestCase):
+    """Guards against a verdict for the wrong reason."""
+
+    def setUp(self):
+        self.assessor = MoveAssessor("quick", NEW)
+        self.traffic = Traffic()
+        self.now_s = 0.0
+
+    def serve(self, *parts, times=1):
+        """Serve old requests and then each (counts, route, server)."""
+        for _ in range(times):
+            self.now_s += 1.0
+            for route in ("a", "b"):
+                self.traffic.add(OLD, route=route, requests=50, slow=5)
+            for counts, route, server in parts:
+                self.traffic.add(NEW, route=route, server=server, **counts)
+            self.assessor.update(self.traffic.rows(), self.now_s)
+
+    def verdict(self, servers=2):
+        return self.assessor.assess(servers).verdict
+
+    def test_verdicts(self):
+        two = [(GOOD, "a", "s1"), (GOOD, "b", "s2"), (GOOD, "a", "s2")]
+        two.append((GOOD, "b", "s1"))
+        bad_both = [(BAD, "a", "s1"), (BAD, "a", "s2")]
+        slow_both = [(SLOW, "a", "s1"), (SLOW, "b", "s2")]
+        crash = {"requests": 1, "broken": 1, "crashes": 1}
+        table = [
+            ("good", 2, [(two, 100)], Verdict.ACCEPTED),
+            ("too little", 2, [(two, 10)], Verdict.OPEN),
+            ("fails", 2, [(bad_both, 10)], Verdict.REJECTED),
+            ("slow", 2, [(slow_both, 25)], Verdict.REJECTED),
+            ("later", 2, [(two, 500), (bad_both, 10)], Verdict.REJECTED),
+            (
+                "one route",
+                2,
+                [(two, 20), ([*bad_both, (GOOD, "b", "s1")], 12)],
+                Verdict.REJECTED,
+            ),
+            ("one machine", 2, [([two[0], (BAD, "a", "s2")], 80)], None),
+            ("only server", 1, [([(BAD, "a", "s1")], 12)], Verdict.REJECTED),
+            (
+                "first of two servers",
+                2,
+                [([(BAD, "a", "s1")], 30)],
+                Verdict.OPEN,
+            ),
+            (
+                "crashes",
+                2,
+                [([(crash, "a", "s1"), (crash, "a", "s2")], 10)],
+                Verdict.REJECTED,
+            ),
+            (
+                "crashes of one machine",
+                2,
+                [([two[1], (crash, "a", "s1")], 50)],
+                None,
+            ),
+            ("other route", 2, [([two[0], two[2]], 150)], Verdict.OPEN),
+        ]
+        for name, servers, phases, expected in table:
+            with self.subTest(name=name):
+                self.setUp()
+                for parts, times in phases:
+                    self.serve(*parts, times=times)
+                if expected is None:
+                    verdict = self.verdict(servers)
+                    self.assertIsNot(Verdict.REJECTED, verdict)
+                else:
+                    self.assertIs(expected, self.verdict(servers))
+
+    def test_a_fault_of_both_versions_is_not_the_new_one(self):
+        for _ in range(100):
+            self.now_s += 1.0
+            self.traffic.add(OLD, requests=100, failures=30, slow=40)
+            for server in ("s1", "s2"):
+                self.traffic.add(
+                    NEW, server=server, requests=10, failures=3, slow=4
+                )
+            self.assessor.update(self.traffic.rows(), self.now_s)
+        self.assertIsNot(Verdict.REJECTED, self.verdict())
+
+    def test_one_crash_that_many_gateways_see_is_one(self):
+        for number in range(10):
+            traffic = Traffic(f"g{number}")
+            for server in ("s1", "s2"):
+                traffic.add(
+                    NEW, server=server, requests=3, broken=3, crashes=1
+                )
+            self.assessor.update(traffic.rows(), 1.0)
+        self.assertIs(Verdict.OPEN, self.verdict())
+
+    def test_the_reason_names_a_route_that_fails_alone(self):
+        good = [(GOOD, "a", "s1"), (GOOD, "a", "s2")] * 4
+        bad = [(BAD, "b", "s1"), (BAD, "b", "s2")]
+        self.serve(*good, *bad, times=12)
+        self.assertIn("failures", self.assessor.assess(2).reason)
+        self.assertIn("on b alone", self.assessor.assess(2).reason)
+        self.setUp()
+        bad += [(BAD, "a", "s1"), (BAD, "a", "s2")]
+        self.serve(*good, *bad, times=30)
+        self.assertNotIn("alone", self.assessor.assess(2).reason)
+
+    @settings(derandomize=True, max_examples=30, deadline=None)
+    @given(st.integers(0, 2**32), st.integers(1, 5))
+    def test_repeated_and_reordered_rows_count_once(self, seed, copies):
+        random = Random(seed)
+        self.setUp()
+        snapshots = []
+        for _ in range(20):
+            self.traffic.add(OLD, requests=5)
+            self.traffic.add(NEW, server="s1", requests=1)
+            snapshots += self.traffic.rows() * copies
+        last = self.traffic.rows()
+        random.shuffle(snapshots)
+        self.assessor.update([*snapshots, *last], 1.0)
+        self.assertEqual(20, self.assessor.new_counts.requests)
+        self.assertEqual(120, self.assessor.class_requests)
+
+    @settings(derandomize=True, max_examples=15, deadline=None)
+    @given(
+        st.integers(0, 2**32),
+        st.sampled_from([0.0, 0.002, 0.01, 0.05]),
+        st.sampled_from([0.05, 0.15, 0.3]),
+    )
+    def test_a_version_like_the_old_one_is_accepted(self, seed, fail, slow):
+        random = Random(seed)
+        verdicts = self.run_random(random, (fail, slow), (fail, slow), 1500)
+        self.assertNotIn(Verdict.REJECTED, verdicts)
+        self.assertIn(Verdict.ACCEPTED, verdicts)
+
+    @settings(derandomize=True, max_examples=15, deadline=None)
+    @given(
+        st.integers(0, 2**32),
+        st.sampled_from([(0.15, 0.1), (0.5, 0.1), (0.0, 0.5), (1.0, 0.0)]),
+    )
+    def test_a_bad_version_is_rejected_and_not_accepted(self, seed, new):
+        random = Random(seed)
+        verdicts = self.run_random(random, (0.005, 0.1), new, 600)
+        self.assertIs(Verdict.REJECTED, verdicts[-1])
+        self.assertNotIn(Verdict.ACCEPTED, verdicts)
+
+    def run_random(self, random, old, new, requests):
+        """Return the verdicts after each request, up to a rejection."""
+        self.setUp()
+        verdicts = []
+        for number in range(requests):
+            for version, (fail, slow), server in (
+                (OLD, old, ""),
+                (NEW, new, f"s{random.randrange(2)}"),
+            ):
+                count = 20 if version == OLD else 1
+                failures = sum(random.random() < fail for _ in range(count))
+                slows = sum(
+                    random.random() < slow for _ in range(count - failures)
+                )
+                self.traffic.add(
+                    version,
+                    server=server,
+                    requests=count,
+                    failures=failures,
+                    slow=slows,
+                )
+            self.assessor.update(self.traffic.rows(), number * 0.2)
+            verdicts.append(self.verdict())
+            if verdicts[-1] is Verdict.REJECTED:
+                break
+        return verdicts
--- /dev/null
+++ b/tests/rollout/test_coordinator.py
@@ -0,0 +1,238 @@
+"""Tests of the controller of version moves."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from unittest import IsolatedAsyncioTestCase
+from unittest import TestCase
+
+from azurewick.errors import AzurewickError
+from azurewick.rollout.coordinator import MoveCoordinator
+from azurewick.rollout.decisions import VersionCut
+from azurewick.rollout.models import MoveState
+from azurewick.rollout.models import parse_move
+from azurewick.rollout.models import PLURAL_VERSION_MOVES
+from azurewick.rollout.planner import FleetSize
+from fakes.memory_store import MemoryStore
+from tests.rollout.builders import build_move
+from tests.rollout.builders import NEW
+from tests.rollout.builders import OLD
+from tests.rollout.builders import Traffic
+
+LAST_STEP_S = 2400
+
+
+class Platform:
+    """Lease, evidence and fleet of a controller, with their traffic."""
+
+    def __init__(self) -> None:
+        self.number: int | None = 5
+        self.traffic = Traffic()
+        self.cut: VersionCut | None = None
+        self.failures = 0
+
+    def fencing_number(self, now_s):
+        return self.number
+
+    def evidence(self):
+        return self.traffic.rows()
+
+    def cuts(self):
+        return [self.cut] if self.cut else []
+
+    def fleet_size(self, move):
+        return FleetSize(new_servers=40, old_servers=40, old_version=OLD)
+
+    def serve(self, share):
+        for server in ("s1", "s2"):
+            requests = round(200 * share)
+            failures = min(requests, self.failures)
+            self.traffic.add(
+                NEW, server=server, requests=requests, failures=failures
+            )
+        self.traffic.add(OLD, requests=round(400 * (1 - share)))
+
+
+class MoveCoordinatorTest(IsolatedAsyncioTestCase):
+    """Guards against a move that is lost, repeated or written wrongly."""
+
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        self.platform = Platform()
+        self.controller = self.new_controller()
+        self.now_s = 1000
+        await self.store.async_create(
+            PLURAL_VERSION_MOVES, "quick", build_move().as_spec()
+        )
+
+    def new_controller(self):
+        platform = self.platform
+        return MoveCoordinator(self.store, platform, platform, platform)
+
+    def stored(self):
+        return parse_move(self.store.objects.get("versionmoves", "quick"))
+
+    async def async_run(self, before_step=lambda step: None):
+        """Run until the move has ended and return each stored share."""
+        shares = []
+        step = 0
+        while self.stored().is_progressing and self.now_s < LAST_STEP_S:
+            before_step(step)
+            await self.controller.async_step(float(self.now_s))
+            move = self.stored()
+            if not shares or shares[-1] != move.share:
+                shares.append(move.share)
+            self.platform.serve(move.share)
+            self.now_s += 2
+            step += 1
+        return shares
+
+    async def test_a_good_move_is_done_in_time(self):
+        shares = await self.async_run()
+        self.assertEqual([0.01, 0.05, 0.01, 0.1, 0.25, 0.5, 1.0], shares)
+        move = self.stored()
+        self.assertIs(MoveState.DONE, move.state)
+        self.assertLessEqual(self.now_s, 2000)
+        self.assertEqual(5, move.fencing_number)
+        self.assertGreater(move.evidence["requests"], 0)
+        # A step that changes nothing writes nothing.
+        self.assertLess(self.store.calls["update"], 12)
+
+    async def test_a_bad_move_is_rolled_back(self):
+        def fail(step):
+            self.platform.failures = 10 if step > 100 else 0
+
+        shares = await self.async_run(fail)
+        move = self.stored()
+        self.assertIs(MoveState.ROLLED_BACK, move.state)
+        self.assertEqual(0.0, shares[-1])
+        self.assertIn("failures", move.reason)
+
+    async def test_the_controller_is_lost_at_any_step(self):
+        # The one that takes over has only the store and the evidence that
+        # the gateways share; it must not take that of an earlier step for
+        # the evidence of the present one.
+        progressing, done = MoveState.PROGRESSING, MoveState.DONE
+        table = [
+            (1, 0, progressing, 0.05),
+            (1, 1, progressing, 0.05),
+            (20, 0, done, 1.0),
+            (27, 1, done, 1.0),
+            (50, 2, done, 1.0),
+        ]
+        for every, lost_answers, state, most in table:
+            with self.subTest(every=every, lost_answers=lost_answers):
+                await self.asyncSetUp()
+                lose = self.lose_controller(every, lost_answers)
+                shares = await self.async_run(lose)
+                self.assertIs(state, self.stored().state)
+                self.assertEqual(most, max(shares))
+
+    def lose_controller(self, every, lost_answers):
+        def lose(step):
+            if step % every == 0:
+                self.platform.number += 1
+                self.controller = self.new_controller()
+                self.store.lose_answers = lost_answers
+
+        return lose
+
+    async def test_lost_answers_are_read_back(self):
+        def lose(step):
+            self.store.lose_answers = 1
+
+        shares = await self.async_run(lose)
+        self.assertEqual([0.01, 0.05, 0.01, 0.1, 0.25, 0.5, 1.0], shares)
+        self.assertIs(MoveState.DONE, self.stored().state)
+        self.assertLess(self.store.calls["update"], 12)
+
+    async def test_a_verdict_outlives_an_outage_of_the_store(self):
+        for _ in range(40):
+            await self.controller.async_step(float(self.now_s))
+            self.platform.serve(self.stored().share)
+            self.now_s += 2
+        self.platform.cut = VersionCut(
+            request_class="quick", version=NEW, move_id="m1", reason="slow"
+        )
+        self.store.is_down = True
+        await self.controller.async_step(float(self.now_s))
+        self.assertTrue(self.stored().is_progressing)
+        self.store.is_down = False
+        await self.controller.async_step(float(self.now_s + 2))
+        self.assertIs(MoveState.ROLLED_BACK, self.stored().state)
+        self.assertEqual("slow", self.stored().reason)
+
+    async def test_without_the_lease_nothing_is_written(self):
+        for number, stored in ((None, 0), (4, 9)):
+            with self.subTest(number=number):
+                await self.asyncSetUp()
+                item = await self.store.async_get("versionmoves", "quick")
+                status = build_move(
+                    fencing_number=stored, started_s=1.0
+                ).as_status()
+                await self.store.async_update(replace(item, status=status))
+                self.platform.number = number
+                await self.controller.async_step(1000.0)
+                self.assertEqual(1, self.store.calls["update"])
+
+    async def test_operators_win_races(self):
+        await self.controller.async_step(1000.0)
+        item = await self.store.async_get("versionmoves", "quick")
+        cancelled = replace(item, spec=item.spec | {"cancelled": True})
+        listed = await self.store.async_list("versionmoves")
+        await self.store.async_update(cancelled)
+        # The controller acts on what it listed before the cancel.
+        advance = self.controller._async_try_advance
+        self.platform.cut = VersionCut(
+            request_class="quick", version=NEW, move_id="m1", reason="slow"
+        )
+        await advance(listed.items[0], 5, 1002.0)
+        self.assertIs(MoveState.CANCELLED, self.stored().state)
+        await self.controller.async_step(1004.0)
+        status = self.store.objects.get("versionmoves", "quick")["status"]
+        self.assertEqual("cancelled", status["state"])
+        # A new move of the class leaves the old status behind.
+        item = await self.store.async_get("versionmoves", "quick")
+        spec = build_move(id="m2").as_spec()
+        await self.store.async_update(replace(item, spec=spec))
+        await self.controller.async_step(1006.0)
+        move = self.stored()
+        self.assertEqual(("m2", 0.01), (move.id, move.share))
+        self.assertTrue(move.is_progressing)
+
+    async def test_an_invalid_move_stops_no_other(self):
+        await self.store.async_create("versionmoves", "aaa", {"id": ""})
+        with self.assertLogs("azurewick.rollout", "WARNING") as logs:
+            await self.controller.async_step(1000.0)
+            await self.controller.async_step(1002.0)
+        self.assertEqual(1, len(logs.records))
+        self.assertEqual(1000.0, self.stored().started_s)
+
+
+class StoredFormTest(TestCase):
+    """Guards against a stored move that is read as another one."""
+
+    def test_round_trip(self):
+        move = build_move(
+            state=MoveState.ROLLED_BACK,
+            share=0.0,
+            evidence={"requests": 3},
+            reason="slow",
+            started_s=5.0,
+        )
+        stored = {"spec": move.as_spec(), "status": move.as_status()}
+        self.assertEqual(move, parse_move(stored))
+        self.assertEqual(build_move(), parse_move({"spec": move.as_spec()}))
+
+    def test_invalid_forms(self):
+        spec = build_move().as_spec()
+        for stored in (
+            {},
+            {"spec": spec | {"version": "No Name"}},
+            {"spec": spec | {"by_time_s": "soon"}},
+            {"spec": spec | {"other": 1}},
+            {"spec": spec, "status": {"share": 2.0}},
+        ):
+            with self.subTest(stored=stored):
+                with self.assertRaises(AzurewickError):
+                    parse_move(stored)
--- /dev/null
+++ b/tests/rollout/test_planner.py
@@ -0,0 +1,143 @@
+"""Tests of the plan of a move."""
+
+from __future__ import annotations
+
+from random import Random
+from unittest import TestCase
+
+from azurewick.rollout.models import MovePhase
+from azurewick.rollout.models import MoveState
+from azurewick.rollout.models import TEST_SHARE
+from azurewick.rollout.planner import FleetSize
+from azurewick.rollout.planner import MovePlanner
+from azurewick.rollout.planner import ramp_shares
+from bench.moves_model import build_case
+from bench.moves_model import Case
+from bench.moves_model import Kind
+from bench.moves_model import MoveModel
+from tests.rollout.builders import build_move
+from tests.rollout.builders import NEW
+from tests.rollout.builders import OLD
+from tests.rollout.builders import Traffic
+
+FLEET = FleetSize(new_servers=40, old_servers=40, old_version=OLD)
+
+
+class MovePlannerTest(TestCase):
+    """Guards against a plan that is too fast, too late or silent."""
+
+    def run_move(self, rate_per_s, move=None, fleet=FLEET, until_s=3000):
+        """Run good traffic and return each different move with its time."""
+        move = move or build_move()
+        planner = MovePlanner(move)
+        traffic = Traffic()
+        seen = []
+        for now_s in range(1000, until_s, 2):
+            decided = planner.decide(move, fleet, float(now_s))
+            if decided != move:
+                seen.append((now_s, decided))
+            move = decided
+            new = 2 * rate_per_s * move.share
+            for server in range(2):
+                traffic.add(NEW, server=str(server), requests=round(new / 2))
+            traffic.add(OLD, requests=round(2 * rate_per_s - new))
+            planner.update(traffic.rows(), float(now_s))
+        return seen
+
+    def test_phases_of_a_good_version(self):
+        seen = self.run_move(200)
+        self.assertEqual(
+            [
+                (MovePhase.START, 0.01, 2),
+                (MovePhase.LOAD, TEST_SHARE, 2),
+                (MovePhase.SOAK, 0.01, 2),
+                (MovePhase.RAMP, 0.10, 4),
+                (MovePhase.RAMP, 0.25, 10),
+                (MovePhase.RAMP, 0.5, 20),
+                (MovePhase.RAMP, 1.0, 0),
+                (MovePhase.RAMP, 1.0, 0),
+            ],
+            [(m.phase, m.share, m.servers) for _, m in seen],
+        )
+        done_s, done = seen[-1]
+        self.assertIs(MoveState.DONE, done.state)
+        # The soak takes the time that the ramp doesn't need.
+        self.assertTrue(1850 < done_s <= 2000, done_s)
+        self.assertEqual(OLD, done.previous_version)
+
+    def test_ramps_of_fleets(self):
+        table = [
+            (1, (0.4, 1.0)),
+            (3, (0.4, 1.0)),
+            (5, (0.4, 1.0)),
+            (12, (2 / 12, 0.5, 1.0)),
+            (40, (0.10, 0.25, 0.5, 1.0)),
+            (600, (0.10, 0.25, 0.5, 1.0)),
+        ]
+        for servers, expected in table:
+            with self.subTest(servers=servers):
+                fleet = FleetSize(new_servers=servers, old_servers=servers)
+                self.assertEqual(expected, ramp_shares(fleet))
+
+    def test_notices(self):
+        few = FleetSize(new_servers=3, old_servers=40)
+        none = FleetSize(new_servers=0, old_servers=40)
+        near = build_move(by_time_s=1060.0)
+        table = [
+            ("in time", 200, build_move(), FLEET, None),
+            ("too few requests", 1, build_move(), FLEET, "can't be met"),
+            ("no requests", 0, build_move(), FLEET, "more requests"),
+            ("too near", 200, near, FLEET, "can't be met"),
+            ("few servers", 200, build_move(), few, "can take 8%"),
+            ("no servers", 200, build_move(), none, "no live server"),
+        ]
+        for name, rate_per_s, move, fleet, expected in table:
+            with self.subTest(name=name):
+                seen = self.run_move(rate_per_s, move, fleet, 2500)
+                notices = {m.notice for _, m in seen} - {""}
+                if expected is None:
+                    self.assertEqual(set(), notices)
+                else:
+                    self.assertIn(expected, " ".join(notices))
+
+    def test_a_notice_comes_early(self):
+        seen = self.run_move(1)
+        first_s = min(now_s for now_s, move in seen if move.notice)
+        self.assertLess(first_s, 1200)
+
+    def test_a_late_move_goes_on(self):
+        seen = self.run_move(200, build_move(by_time_s=1060.0))
+        self.assertIs(MoveState.DONE, seen[-1][1].state)
+
+    def test_a_new_planner_goes_on_in_the_stored_phase(self):
+        move = build_move(
+            phase=MovePhase.RAMP, share=0.5, servers=20, started_s=900.0
+        )
+        seen = self.run_move(200, move)
+        self.assertEqual([1.0, 1.0], [m.share for _, m in seen])
+
+    def test_kinds_of_versions(self):
+        for kind in Kind:
+            with self.subTest(kind=kind):
+                for number in range(4):
+                    random = Random(f"{kind}/{number}")
+                    case = build_case(kind, random)
+                    result = MoveModel(case, random).run()
+                    state = MoveState.ROLLED_BACK
+                    if kind.is_good:
+                        state = MoveState.DONE
+                    self.assertIs(state, result.state, case)
+                    self.assertLessEqual(result.unaccepted_share, TEST_SHARE)
+
+    def test_load_shows_within_the_test_share_in_a_large_fleet(self):
+        case = Case(
+            kind=Kind.UNDER_LOAD,
+            requests_per_s=200.0,
+            servers=40,
+            duration_s=240,
+            failure_rate=0.002,
+            slow_rate=0.9,
+        )
+        result = MoveModel(case, Random(1)).run()
+        self.assertIs(MoveState.ROLLED_BACK, result.state)
+        self.assertLess(result.exposure, 0.01)
