Keep refusals of the old version from raising the new one's share

Cause: when all servers of the old version had refused a request, the gateway asked for a version without the old one and got the one under test. Ruled out: the share itself (0.05) and a late cut (rolled back after 6 s). Change: choose_fallback names only the old version, and only after the new one has refused. A refused connection counts as unreachable again, not as acknowledged, as an agent may restart at the address. Conclusion: found by the demonstration, guarded by a test of the selector.

--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -98,10 +98,9 @@
         name = self._choose_server_of(offer, version, excluded, now_s)
         if name is not None or version is None or not excluded:
             return name
-        # All servers of the version have refused. Another version takes the
-        # request only if the selector names it, so that a refusal can't
-        # raise the share of a version under test.
-        other = selector.choose(offer, versions - {version}, now_s)
+        # All servers of the version have refused. A refusal must not raise
+        # the share of a version under test, so only the old one may follow.
+        other = selector.choose_fallback(offer, version, versions)
         if other is None:
             return None
         return self._choose_server_of(offer, other, excluded, now_s)
--- a/azurewick/gateway/protocols.py
+++ b/azurewick/gateway/protocols.py
@@ -162,6 +162,11 @@
     ) -> str | None:
         """Return a version, None for any."""
 
+    def choose_fallback(
+        self, offer: Offer, refused: str, versions: Collection[str]
+    ) -> str | None:
+        """Return the version that may take what another one refused."""
+
     def choose_servers(
         self, request_class: str, version: str, names: Iterable[str]
     ) -> frozenset[str]:
--- a/azurewick/gateway/shedding.py
+++ b/azurewick/gateway/shedding.py
@@ -75,10 +75,6 @@
             reply = await AgentControlStub(
                 self._channels[address]
             ).SetAdmissionFloor(request, timeout=CALL_TIMEOUT_S)
-        except ConnectionRefusedError:
-            # An agent listens until it exits, so none runs at the address
-            # and none can dispatch. A new one starts without a permit.
-            return True
         except (GRPCError, StreamTerminatedError, OSError, TimeoutError):
             return False
         return bool(reply.floor_tier <= floor_tier)
--- a/azurewick/gateway/wiring.py
+++ b/azurewick/gateway/wiring.py
@@ -196,6 +196,12 @@
         """Return None for any version."""
         return None
 
+    def choose_fallback(
+        self, offer: Offer, refused: str, versions: Collection[str]
+    ) -> str | None:
+        """Return None: no other version takes it."""
+        return None
+
     def choose_servers(
         self, request_class: str, version: str, names: Iterable[str]
     ) -> frozenset[str]:
--- a/azurewick/rollout/decisions.py
+++ b/azurewick/rollout/decisions.py
@@ -93,6 +93,19 @@
         place = _hash(f"{move.id}/{offer.request_id}") / _HASH_RANGE
         return move.version if place < self._share(move) else old
 
+    def choose_fallback(
+        self, offer: Offer, refused: str, versions: Collection[str]
+    ) -> str | None:
+        """Return the version that may take what another one refused.
+
+        Only the old version may, when the new one has refused: otherwise an
+        overload of the old servers would raise the new one's share.
+        """
+        move = self._moves.get(offer.request_class)
+        if move is None or refused != move.version:
+            return None
+        return self._old_version(move, versions)
+
     def choose_servers(
         self, request_class: str, version: str, names: Iterable[str]
     ) -> frozenset[str]:
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -36,8 +36,9 @@
 GOOD_VERSION = "v2"
 BAD_VERSION = "v3"
 MOVE_TIME_S = 35.0
-MOVE_RATE_PER_S = 120.0
+MOVE_RATE_PER_S = 200.0
 BAD_FAILING_SHARE = 0.5
+MOVE_CLASS_CYCLE = (CLASS_QUICK, CLASS_QUICK, CLASS_QUICK, CLASS_TAG)
 
 
 @dataclass(kw_only=True)
@@ -173,7 +174,7 @@
             state in FINAL_STATES for state in states.values()
         ):
             await self.callers.async_send_for(
-                1.0, MOVE_RATE_PER_S, tuple(versions)
+                1.0, MOVE_RATE_PER_S, MOVE_CLASS_CYCLE
             )
             for request_class, version in versions.items():
                 states[version] = await async_read_state(
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -124,10 +124,10 @@
                     bench.cluster.servers["agent-2"] = replace(
                         agents[1].server, version="v2"
                     )
-                    bench.components.versions.choose = (
-                        lambda offer, versions, now_s, other=other: (
-                            "v2" if "v2" in versions else other
-                        )
+                    versions = bench.components.versions
+                    versions.choose = lambda offer, versions, now_s: "v2"
+                    versions.choose_fallback = (
+                        lambda offer, refused, versions, other=other: other
                     )
                     self.assertEqual(status, (await bench.async_post())[0])
                     self.assertEqual(1, len(agents[1].offers))
--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -87,6 +87,17 @@
         large = {n for n in range(500) if self.choose(number=n) == NEW}
         self.assertLess(small, large)
 
+    def test_refusals_never_raise_the_share_of_the_new_version(self):
+        self.use(share=0.05)
+        for refused, expected in ((OLD, None), (NEW, OLD)):
+            with self.subTest(refused):
+                self.assertEqual(
+                    expected,
+                    self.selector.choose_fallback(
+                        build_offer(0), refused, BOTH
+                    ),
+                )
+
     def test_own_evidence_cuts_at_once(self):
         self.use(share=1.0)
         self.fail()
