--- a/azurewick/admission/dispatch_window.py
+++ b/azurewick/admission/dispatch_window.py
@@ -4,10 +4,11 @@
 
 from typing import Final
 
-# An engine admits in order of arrival. With one prefill running and one
-# waiting it never idles, and all further requests stay in the tier queue,
-# where a higher tier still overtakes them.
-MAX_PREFILLS: Final = 2
+# An engine admits in order of arrival, and a long prefill delays all
+# requests behind it. With one request before its first token, all others
+# stay in the tier queue, where a higher tier overtakes them; the engine
+# decodes on during the round trip of less than a millisecond.
+MAX_PREFILLS: Final = 1
 
 
 class DispatchWindow:
@@ -24,3 +25,14 @@
         the batch limit.
         """
         return running < limit and prefilling < self._max_prefills
+
+
+def remaining_s(expected_s: float, elapsed_s: float) -> float:
+    """Return the expected rest of a prefill.
+
+    One that takes longer than expected is expected to take as long again
+    as it has been late, so that a straggler refuses work at once.
+    """
+    if elapsed_s <= expected_s:
+        return expected_s - elapsed_s
+    return elapsed_s - expected_s
--- a/azurewick/gateway/context.py
+++ b/azurewick/gateway/context.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -11,6 +13,7 @@
 
 from aiohttp.streams import StreamReader
 
+from azurewick.claims.models import make_claim_key
 from azurewick.models import Customer
 from azurewick.models import RequestClass
 
@@ -24,7 +27,8 @@
     """Request of a caller; the filters fill it in step by step.
 
     received_s is monotonic time. pool is set for plain services only until
-    the class is known.
+    the class is known. accept_body tells a caller that waits for it to send
+    its body.
     """
 
     method: str
@@ -40,6 +44,8 @@
     body: bytes = b""
     idempotency_key: str = ""
     fingerprint: str = ""
+    accept_body: Callable[[], Awaitable[None]] | None = None
+    prefix_hashes: tuple[str, ...] | None = None
     customer: Customer = field(init=False)
     request_class: RequestClass = field(init=False)
 
@@ -64,7 +70,7 @@
         """
         if not self.idempotency_key:
             return ""
-        return digest(
+        return make_claim_key(
             self.customer.name, self.request_class.name, self.idempotency_key
         )
 
--- a/azurewick/gateway/protocols.py
+++ b/azurewick/gateway/protocols.py
@@ -162,6 +162,11 @@
     ) -> str | None:
         """Return a version, None for any."""
 
+    def choose_fallback(
+        self, offer: Offer, refused: str, versions: Collection[str]
+    ) -> str | None:
+        """Return the version that may take what another one refused."""
+
     def choose_servers(
         self, request_class: str, version: str, names: Iterable[str]
     ) -> frozenset[str]:
@@ -194,6 +199,9 @@
     def record_success(self, fingerprint: str) -> None:
         """Clear the suspicion of a fingerprint that finished."""
 
+    def crash_count(self, fingerprint: str, now_s: float) -> int:
+        """Return the crashes of a fingerprint that are not forgotten."""
+
     def is_poison(self, fingerprint: str, now_s: float) -> bool:
         """Return whether to refuse a fingerprint."""
 
