claims: transport to the writer of a shard

Cause: without a common writer, 100 claims/s of 16 gateways take 362 writes/s against a bound of 300, because gateways conflict on a shard's head.

--- a/azurewick/control/control_grpc.py
+++ b/azurewick/control/control_grpc.py
@@ -98,3 +98,31 @@
             azurewick.control.control_pb2.ProbeRequest,
             azurewick.control.control_pb2.ProbeReply,
         )
+
+
+class ClaimWriterBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Apply(self, stream: 'grpclib.server.Stream[azurewick.control.control_pb2.ClaimBatch, azurewick.control.control_pb2.ClaimBatchReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/azurewick.control.v1.ClaimWriter/Apply': grpclib.const.Handler(
+                self.Apply,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                azurewick.control.control_pb2.ClaimBatch,
+                azurewick.control.control_pb2.ClaimBatchReply,
+            ),
+        }
+
+
+class ClaimWriterStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Apply = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/azurewick.control.v1.ClaimWriter/Apply',
+            azurewick.control.control_pb2.ClaimBatch,
+            azurewick.control.control_pb2.ClaimBatchReply,
+        )
--- a/tests/claims/builders.py
+++ b/tests/claims/builders.py
@@ -152,6 +152,33 @@
         )
 
 
+class LossyRoute:
+    """Way to one writer that loses calls before or after their effect."""
+
+    def __init__(self, members, random, loss_share):
+        self.members = members
+        self.random = random
+        self.loss_share = loss_share
+
+    def writer(self, shard):
+        return self.random.choice((None, "0", "1"))
+
+    async def async_apply(self, writer, shard, operations):
+        claims = self.members[int(writer)].claims
+        await sleep(self.random.choice((0.001, 0.2)))
+        lost = self.random.random() < self.loss_share
+        if lost and self.random.random() < 0.5:
+            raise store_error(Outcome.UNKNOWN)
+        applying = create_task(claims.async_apply(operations))
+        if lost:
+            # The writer goes on although nobody waits for its answer.
+            applying.add_done_callback(
+                lambda task: task.cancelled() or task.exception()
+            )
+            raise store_error(Outcome.UNKNOWN)
+        return await applying
+
+
 def make_gateways(count, data=None, **options):
     data = data or StoreData()
     return [Gateway(f"gw-{i}/a", data, **options) for i in range(count)]
--- a/tests/claims/test_faults.py
+++ b/tests/claims/test_faults.py
@@ -26,6 +26,7 @@
 from tests.claims.builders import Fault
 from tests.claims.builders import Gateway
 from tests.claims.builders import KEY
+from tests.claims.builders import LossyRoute
 from tests.claims.builders import make_gateways
 
 # A request makes three calls without a fault (read, claim, complete); a
@@ -111,15 +112,20 @@
         seed=strategies.integers(0, 2**32),
         gateways=strategies.integers(2, 3),
         fault_share=strategies.sampled_from((0.0, 0.1, 0.4)),
+        routed=strategies.booleans(),
     )
-    def test_two_or_three_gateways(self, seed, gateways, fault_share):
-        run_virtual(self._async_race(Random(seed), gateways, fault_share))
+    def test_two_or_three_gateways(self, seed, gateways, fault_share, routed):
+        run_virtual(
+            self._async_race(Random(seed), gateways, fault_share, routed)
+        )
 
-    async def _async_race(self, random, count, fault_share):
+    async def _async_race(self, random, count, fault_share, routed):
         faults = [fault for fault in Fault if fault not in (Fault.OUTAGE,)]
         data = StoreData()
         keys = [KEY, "1" * 32]
-        members = [
+        members = []
+        route = LossyRoute(members, random, fault_share) if routed else None
+        members += [
             Gateway(
                 f"gw-{i}/a",
                 data,
@@ -130,6 +136,7 @@
                 },
                 delay=lambda: random.choice((0.0, 0.001, 0.01, 0.2)),
                 commit_interval_s=0.005,
+                route=route,
             )
             for i in range(count)
         ]
