--- a/azurewick/gateway/application.py
+++ b/azurewick/gateway/application.py
@@ -86,6 +86,7 @@
             async with timeout(settings.drain_timeout_s):
                 await self.executor.requests.async_wait_idle()
                 await self.handler.async_wait_idle()
+                await self.components.background.async_wait_idle()
         except TimeoutError:
             _LOGGER.warning(
                 "%d requests still run after %g s",
--- a/azurewick/gateway/wiring.py
+++ b/azurewick/gateway/wiring.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from asyncio import create_task
+from asyncio import gather
 from asyncio import Task
 from collections import Counter
 from collections import deque
@@ -57,6 +58,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def async_wait_idle(self) -> None:
+        """Wait until the tasks that run now have ended."""
+        await gather(*self._tasks, return_exceptions=True)
+
 
 @dataclass(kw_only=True, slots=True)
 class GatewayComponents:
--- a/tests/gateway/test_faults.py
+++ b/tests/gateway/test_faults.py
@@ -13,6 +13,7 @@
 
 from azurewick.errors import ErrorCode
 from azurewick.errors import Outcome
+from azurewick.helpers.clock import monotonic_s
 from tests.gateway.builders import async_stream_events
 from tests.gateway.builders import async_wait_for
 from tests.gateway.builders import async_wait_then_answer
@@ -122,6 +123,14 @@
 )
 
 
+CRASHES = (
+    "reset after the offer",
+    "agent killed after the offer",
+    "answer lost",
+    "answer broken",
+)
+
+
 class OfferFaultTest(IsolatedAsyncioTestCase):
     """Guards against second dispatches and a wrong not_run."""
 
@@ -147,6 +156,21 @@
                         else:
                             self.assertEqual(expected, get_error(body))
                             self.check_claim(bench, request_class, expected)
+                        # Only a connection that ended is the sign of a crash.
+                        self.assertEqual(
+                            name in CRASHES, len(bench.components.poison) > 0
+                        )
+
+    async def test_silent_agent_is_told_to_cancel_repeatable_runs(self):
+        for request_class, pool in (("quick", "models"), ("deposit", "shop")):
+            with self.subTest(request_class):
+                agent = FakeAgent("agent-1", pool, async_pause)
+                async with GatewayBench(agent, answer_timeout_s=0.3) as bench:
+                    await bench.async_post(request_class, key="k")
+                    await bench.components.background.async_wait_idle()
+                    self.assertEqual(
+                        request_class == "quick", bool(agent.cancelled)
+                    )
 
     def check_claim(self, bench, request_class, error):
         """Check that only a request that was not run frees its claim."""
@@ -361,6 +385,23 @@
             self.assertEqual(3, bench.dispatch_count)
             self.assertEqual(("poison_request", "not_run"), get_error(body))
 
+    async def test_waiting_suspect_that_becomes_poison(self):
+        async with GatewayBench(FakeAgent("agent-1")) as bench:
+            detector = bench.components.poison
+            pool = bench.gateway.executor.pool("models")
+
+            def refuse(fingerprint, *_):
+                for i in range(3):
+                    detector.record_crash("a", str(i), [fingerprint], now_s)
+                return None
+
+            now_s = monotonic_s()
+            detector.is_suspect = lambda *_: True
+            pool._placement.acquire = refuse
+            _, body = await bench.async_post()
+            self.assertEqual(("poison_request", "not_run"), get_error(body))
+            self.assertEqual(0, bench.dispatch_count)
+
     async def test_copies_of_a_suspect_run_on_one_server(self):
         agents = [
             FakeAgent(f"agent-{i}", behaviour=async_reset) for i in range(4)
--- a/tests/gateway/test_joins.py
+++ b/tests/gateway/test_joins.py
@@ -7,6 +7,8 @@
 from asyncio import timeout
 from unittest import IsolatedAsyncioTestCase
 
+from aiohttp import web
+
 from azurewick.claims.models import ClaimDecision
 from azurewick.claims.models import ClaimKind
 from tests.gateway.builders import async_stream_events
@@ -50,6 +52,27 @@
                 self.assertIn(b"[DONE]", await first.read())
             self.assertEqual(1, bench.dispatch_count)
 
+    async def test_answer_that_is_too_long_to_join(self):
+        async def async_stream(agent, request):
+            response = web.StreamResponse(
+                headers={"X-Azurewick-Outcome": "ran"}
+            )
+            await response.prepare(request)
+            for _ in range(8):
+                await response.write(b"a" * 65_536)
+            await agent.go_on.wait()
+            return response
+
+        agent = FakeAgent("agent-1", behaviour=async_stream)
+        async with GatewayBench(agent) as bench:
+            async with bench.post(key="k") as first:
+                await first.content.readexactly(8 * 65_536)
+                _, body = await bench.async_post(key="k")
+                self.assertEqual(
+                    ("duplicate_request", "unknown"), get_error(body)
+                )
+            self.assertEqual(1, bench.dispatch_count)
+
     async def test_run_goes_on_while_one_caller_is_left(self):
         agent = FakeAgent("agent-1", behaviour=async_stream_events)
         async with GatewayBench(agent) as bench:
