Keep a tenth of the batch for the highest tier

Cause: answers of lower tiers held all places of a batch for seconds while top-tier requests waited past their target. Change: DispatchWindow.open_floor gives the last tenth only to tier 0; the batch limit counts as used at 85%, or it would never grow.

--- a/azurewick/admission/batch_limit.py
+++ b/azurewick/admission/batch_limit.py
@@ -11,6 +11,9 @@
 GROW_BELOW: Final = 0.8
 SHRINK_AT: Final = 0.9
 SHRINK_TO: Final = 0.85
+# The limit counts as used at this part of it: the last places are kept for
+# the highest tier.
+USED_PART: Final = 0.85
 # The target is an average over an answer. A single long prefill slows the
 # steps for a second or two and must not shrink the batch.
 TIME_CONSTANT_S: Final = 4.0
@@ -78,7 +81,7 @@
                 self._limit * (1.0 - MAX_SHRINK),
             )
             self._limit = max(float(self._minimum), min(self._limit, wanted))
-        elif self._peak_running >= self.limit and (
+        elif self._peak_running >= int(USED_PART * self._limit) and (
             target_s is None or measured_s < GROW_BELOW * target_s
         ):
             growth = max(1.0, MAX_GROWTH * self._limit)
--- a/azurewick/admission/dispatch_window.py
+++ b/azurewick/admission/dispatch_window.py
@@ -4,11 +4,15 @@
 
 from typing import Final
 
+from azurewick.const import HIGHEST_TIER
+
 # An engine admits in order of arrival, and a long prefill delays all
 # requests behind it. With one request before its first token, all others
 # stay in the tier queue, where a higher tier overtakes them; the engine
 # decodes on during the round trip of less than a millisecond.
 MAX_PREFILLS: Final = 1
+# Part of the batch that only the highest tier may fill.
+RESERVED_PART: Final = 0.1
 
 
 class DispatchWindow:
@@ -26,6 +30,16 @@
         """
         return running < limit and prefilling < self._max_prefills
 
+    def open_floor(self, running: int, limit: int, floor_tier: int) -> int:
+        """Return the lowest tier that may take a place in the batch.
+
+        The last places are kept for the highest tier, which otherwise
+        waits until a long answer of a lower tier ends.
+        """
+        if running >= limit * (1.0 - RESERVED_PART):
+            return HIGHEST_TIER
+        return floor_tier
+
 
 def remaining_s(expected_s: float, elapsed_s: float) -> float:
     """Return the expected rest of a prefill.
--- a/bench/model/agent.py
+++ b/bench/model/agent.py
@@ -171,7 +171,11 @@
         while self.window.is_open(
             len(self.running), len(self.prefilling), self.batch.limit
         ):
-            decision = self.queue.take(floor, now_s)
+            limit = self.batch.limit
+            open_floor = self.window.open_floor(
+                len(self.running), limit, floor
+            )
+            decision = self.queue.take(open_floor, now_s)
             self._refuse(decision.expired, ErrorCode.TARGET_UNREACHABLE)
             if decision.item is None:
                 return
