Take a third version never for the old one; feed routers from relays

Cause: a class whose move had no previous version yet took the largest other version for the old one, which sent quick answers to the bad version under test for another class; routers knew only the load reports of own responses. Change: the operator's command records the configured version, the selector leaves an ambiguous choice to the configuration, suspects keep to the version too, and routers take reports from relays and probes.

--- a/azurewick/cli/version.py
+++ b/azurewick/cli/version.py
@@ -98,7 +98,8 @@
         requested_by=getuser(),
     )
     async with command.async_open_store() as store:
-        await _async_check_class(store, request_class)
+        configured = await _async_read_class_version(store, request_class)
+        move = replace(move, previous_version=configured)
         await _async_write_move(store, move)
         command.print_message(
             f"move {move.id} of {request_class} to {version} is accepted",
@@ -108,9 +109,13 @@
             await _async_wait(command, store, move)
 
 
-async def _async_check_class(
+async def _async_read_class_version(
     store: ObjectApiClient, request_class: str
-) -> None:
+) -> str:
+    """Return the version that the configuration names for a class.
+
+    Raises AzurewickError with code unknown_class.
+    """
     configuration = await store.async_get("configurations", "fleet")
     names = [item["name"] for item in configuration.spec["classes"]]
     if request_class not in names:
@@ -119,6 +124,11 @@
             f"no class {request_class!r}; classes are {', '.join(names)}",
             step=Step.CONFIGURE,
         )
+    return next(
+        str(item.get("version") or "")
+        for item in configuration.spec["classes"]
+        if item["name"] == request_class
+    )
 
 
 async def _async_write_move(store: ObjectApiClient, move: VersionMove) -> None:
@@ -130,7 +140,8 @@
                 PLURAL_VERSION_MOVES, move.request_class, move.as_spec()
             )
             return
-        move = replace(move, previous_version=_find_version(current))
+        previous = _find_version(current) or move.previous_version
+        move = replace(move, previous_version=previous)
         await store.async_update(replace(current, spec=move.as_spec()))
     except AzurewickError as err:
         if err.outcome is not Outcome.UNKNOWN:
--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -40,6 +40,14 @@
         self._servers: dict[str, BackendServer] = {}
         self._placement = SuspectPlacement()
         self._suspect_ended = Event()
+        components.cluster.async_add_load_listener(self._take_shared_load)
+
+    def _take_shared_load(self, report: LoadReport) -> None:
+        """Take a report that came through a relay or a probe."""
+        if report.backend_server not in self._servers:
+            return
+        self.reports[report.backend_server] = report
+        self.router.record_report(report, monotonic_s())
 
     def refresh(self, now_s: float) -> None:
         """Take the live servers from the cluster state."""
@@ -91,10 +99,7 @@
         now_s: float,
     ) -> str | None:
         selector = self._components.versions
-        version = selector.choose(offer, versions, now_s)
-        if version is None and request_class.version in versions:
-            # Without a move the class stays on its configured version.
-            version = request_class.version
+        version = self._choose_version(offer, request_class, versions, now_s)
         name = self._choose_server_of(offer, version, excluded, now_s)
         if name is not None or version is None or not excluded:
             return name
@@ -105,6 +110,37 @@
             return None
         return self._choose_server_of(offer, other, excluded, now_s)
 
+    def _choose_version(
+        self,
+        offer: Offer,
+        request_class: RequestClass,
+        versions: set[str],
+        now_s: float,
+    ) -> str | None:
+        version = self._components.versions.choose(offer, versions, now_s)
+        if version is None and request_class.version in versions:
+            # Without a move the class stays on its configured version.
+            return request_class.version
+        return version
+
+    def _find_allowed_servers(
+        self, context: RequestContext, now_s: float
+    ) -> frozenset[str]:
+        """Return the servers of the version that a request may get."""
+        offer = self.build_offer(context, "")
+        versions = {server.version for server in self._servers.values()}
+        version = self._choose_version(
+            offer, context.request_class, versions, now_s
+        )
+        if version is None:
+            return frozenset(self._servers)
+        names = frozenset(
+            server.name
+            for server in self._servers.values()
+            if server.version == version
+        )
+        return names - self._find_closed_servers(offer, version)
+
     def _choose_server_of(
         self,
         offer: Offer,
@@ -127,7 +163,7 @@
             limit_s = min(limit_s, deadline_s)
         while (now_s := monotonic_s()) < limit_s:
             self.refresh(now_s)
-            names = self._servers.keys() - excluded
+            names = self._find_allowed_servers(context, now_s) - excluded
             if not names:
                 return _no_server()
             if self._components.poison.is_poison(context.fingerprint, now_s):
--- a/azurewick/gateway/protocols.py
+++ b/azurewick/gateway/protocols.py
@@ -57,6 +57,11 @@
     ) -> Callable[[], None]:
         """Call a listener after each change; return its removal."""
 
+    def async_add_load_listener(
+        self, listener: Callable[[LoadReport], None]
+    ) -> None:
+        """Call a listener with each load report that arrives."""
+
     async def async_start(self) -> None:
         """Start to follow the cluster."""
 
--- a/azurewick/gateway/wiring.py
+++ b/azurewick/gateway/wiring.py
@@ -151,6 +151,11 @@
         """Ignore a listener: nothing changes."""
         return lambda: None
 
+    def async_add_load_listener(
+        self, listener: Callable[[LoadReport], None]
+    ) -> None:
+        """Ignore a listener: no report arrives."""
+
     async def async_start(self) -> None:
         """Start nothing."""
 
--- a/azurewick/rollout/decisions.py
+++ b/azurewick/rollout/decisions.py
@@ -83,6 +83,10 @@
         move = self._moves.get(offer.request_class)
         if move is None or move.version not in versions:
             return None
+        if not move.previous_version and len(set(versions)) > 2:
+            # Another version may be under test for another class, so the
+            # configured version of the class has to decide.
+            return None
         old = self._old_version(move, versions)
         if self._share(move) <= 0:
             return old if old is not None else NO_VERSION
--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -98,6 +98,13 @@
                     ),
                 )
 
+    def test_a_third_version_is_never_taken_for_the_old_one(self):
+        three = (OLD, NEW, "v9")
+        self.use(share=0.0, previous_version="")
+        self.assertIsNone(self.choose(three))
+        self.use(share=0.0, previous_version=OLD)
+        self.assertEqual(OLD, self.choose(three))
+
     def test_own_evidence_cuts_at_once(self):
         self.use(share=1.0)
         self.fail()
