Send keys with all requests of the demonstration; give the fleet capacity

Cause: resends of chat requests carried no key and ran again; the stand-ins were too slow for the traffic that a version move needs for its evidence. Change: callers send an Idempotency-Key with each request; faster engines and three servers of the good version, since the plan moves no class to a version with fewer servers than the old one has.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -53,10 +53,10 @@
 
 
 INITIAL_BACKENDS = (
-    BackendSpec(name="engine-1", pool=POOL_ASSISTANT, speed=4.0, domain=0),
-    BackendSpec(name="engine-2", pool=POOL_ASSISTANT, speed=2.0, domain=1),
+    BackendSpec(name="engine-1", pool=POOL_ASSISTANT, speed=8.0, domain=0),
+    BackendSpec(name="engine-2", pool=POOL_ASSISTANT, speed=4.0, domain=1),
     BackendSpec(name="engine-3", pool=POOL_ASSISTANT, speed=8.0, domain=0),
-    BackendSpec(name="engine-4", pool=POOL_ASSISTANT, speed=4.0, domain=2),
+    BackendSpec(name="engine-4", pool=POOL_ASSISTANT, speed=8.0, domain=2),
     BackendSpec(name="booking-1", pool=POOL_BOOKING, domain=0),
     BackendSpec(name="booking-2", pool=POOL_BOOKING, domain=1),
 )
--- a/demo/load.py
+++ b/demo/load.py
@@ -142,14 +142,14 @@
         headers = {
             "Authorization": f"Bearer {API_KEYS[customer]}",
             HEADER_REQUEST_CLASS: request_class,
+            HEADER_IDEMPOTENCY_KEY: key,
         }
         if request_class == CLASS_DEPOSIT:
             path = f"{PREFIX_SERVICES}{POOL_BOOKING}/deposits"
             body: dict[str, Any] = {"amount": 25, "reference": key}
-            headers[HEADER_IDEMPOTENCY_KEY] = key
         else:
             path = PATH_CHAT_COMPLETIONS
-            body = self._build_chat(request_class, number, customer)
+            body = self._build_chat(request_class, key, customer)
         claim_key = ""
         if request_class == CLASS_DEPOSIT:
             claim_key = make_claim_key(customer, request_class, key)
@@ -160,12 +160,12 @@
         return record
 
     def _build_chat(
-        self, request_class: str, number: int, customer: str
+        self, request_class: str, key: str, customer: str
     ) -> dict[str, Any]:
         words = PROMPT_WORDS[request_class]
         shared = int(words * SHARED_PREFIX_WORDS)
         prompt = [f"{customer}-{request_class}-{i}" for i in range(shared)]
-        prompt += [f"request-{number}-{i}" for i in range(words - shared)]
+        prompt += [f"request-{key}-{i}" for i in range(words - shared)]
         return {
             "model": "assistant",
             "stream": request_class == CLASS_QUICK,
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -34,6 +34,9 @@
 OUTAGE_S = 2.0
 FREEZE_S = 2.5
 GOOD_VERSION = "v2"
+# As many as the old servers that are left: the plan moves no class to a
+# version with too few servers.
+GOOD_SERVERS = 3
 BAD_VERSION = "v3"
 MOVE_TIME_S = 35.0
 MOVE_RATE_PER_S = 200.0
@@ -131,7 +134,7 @@
                 speed=8.0,
                 domain=index % 2,
             )
-            for index in range(2)
+            for index in range(GOOD_SERVERS)
         ]
         bad = BackendSpec(
             name=f"engine-{BAD_VERSION}",
