Test the evidence of each step, failed writes and few servers

Trials with one mechanism off each showed that no test noticed when a step kept the evidence of the one before, when a failed write was forgotten, or when the share passed what the servers can take.

--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -7,6 +7,8 @@
 from unittest import TestCase
 
 from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
 from azurewick.rollout.coordinator import MoveCoordinator
 from azurewick.rollout.decisions import VersionCut
 from azurewick.rollout.models import MoveState
@@ -53,6 +55,23 @@
         self.traffic.add(OLD, requests=round(400 * (1 - share)))
 
 
+class RefusingStore(MemoryStore):
+    """Store that is rate limited for writes while refused is set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refused = False
+        self.refusals = 0
+
+    async def async_update(self, item):
+        if not self.refused:
+            return await super().async_update(item)
+        self.refusals += 1
+        raise AzurewickError(
+            ErrorCode.STORE_RATE_LIMITED, "too many", step=Step.STORE
+        )
+
+
 class MoveCoordinatorTest(IsolatedAsyncioTestCase):
     """Guards against a move that is lost, repeated or written wrongly."""
 
@@ -146,6 +165,24 @@
         self.assertIs(MoveState.DONE, self.stored().state)
         self.assertLess(self.store.calls["update"], 12)
 
+    async def test_a_write_that_failed_is_tried_again_at_once(self):
+        self.store = RefusingStore()
+        self.controller = self.new_controller()
+        await self.store.async_create(
+            PLURAL_VERSION_MOVES, "quick", build_move().as_spec()
+        )
+
+        def refuse(step):
+            self.store.refused = step % 2 == 0
+
+        shares = await self.async_run(refuse)
+        # Each step of the move is written, at the latest 2 s after it was
+        # decided, so that the move is not later than without the fault.
+        self.assertEqual([0.01, 0.05, 0.01, 0.1, 0.25, 0.5, 1.0], shares)
+        self.assertIs(MoveState.DONE, self.stored().state)
+        self.assertLessEqual(self.now_s, 2000)
+        self.assertLess(self.store.refusals, 12)
+
     async def test_a_verdict_outlives_an_outage_of_the_store(self):
         for _ in range(40):
             await self.controller.async_step(float(self.now_s))
--- a/tests/rollout/test_planner.py
+++ b/tests/rollout/test_planner.py
@@ -100,6 +100,17 @@
                 else:
                     self.assertIn(expected, " ".join(notices))
 
+    def test_each_step_waits_for_evidence_of_its_own(self):
+        seen = self.run_move(20)
+        start_s = {move.share: now_s for now_s, move in reversed(seen)}
+        # 10% of 20 requests a second need 80 s for 160 requests.
+        self.assertGreater(start_s[0.25] - start_s[0.10], 80)
+
+    def test_few_servers_get_no_more_than_they_can_take(self):
+        fleet = FleetSize(new_servers=8, old_servers=40)
+        seen = self.run_move(200, fleet=fleet)
+        self.assertEqual(0.10, max(move.share for _, move in seen))
+
     def test_a_notice_comes_early(self):
         seen = self.run_move(1)
         first_s = min(now_s for now_s, move in seen if move.notice)
