--- /dev/null
+++ b/azurewick/gateway/composition.py
@@ -0,0 +1,97 @@
+"""Composition root of the gateway daemon."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import inf
+
+from xxhash import xxh64_intdigest
+
+from azurewick.admission.customer_limit import CustomerLimiter
+from azurewick.admission.floor import FloorRound
+from azurewick.admission.retry_budget import RetryBudget
+from azurewick.claims.coordinator import ClaimCoordinator
+from azurewick.const import HIGHEST_TIER
+from azurewick.gateway.agent_client import AgentClient
+from azurewick.gateway.metrics import GatewayMetrics
+from azurewick.gateway.rollouts import RolloutService
+from azurewick.gateway.shedding import FloorConfirmer
+from azurewick.gateway.shedding import GrpcFloorClient
+from azurewick.gateway.wiring import BackgroundTasks
+from azurewick.gateway.wiring import GatewayComponents
+from azurewick.helpers.clock import monotonic_s
+from azurewick.membership.coordinator import ClusterState
+from azurewick.platform.client import ObjectApiClient
+from azurewick.poison.detector import PoisonDetector
+from azurewick.rollout.decisions import VersionSelector
+from azurewick.routing.affinity import prefix_hashes
+from azurewick.routing.estimator import OutputLengthPredictor
+from azurewick.routing.selector import LeastCostRouter
+from azurewick.settings.models import GatewaySettings
+
+
+def build_gateway(settings: GatewaySettings) -> GatewayComponents:
+    """Return the components of a gateway with these settings."""
+    store = ObjectApiClient(
+        settings.store.url,
+        calls_per_s=settings.store.calls_per_s,
+        burst_calls=settings.store.burst_calls,
+        request_timeout_s=settings.store.request_timeout_s,
+        clock=monotonic_s,
+    )
+    cluster = ClusterState(settings, store, monotonic_s)
+    incarnation = cluster.incarnation
+    poison = PoisonDetector()
+    versions = VersionSelector(
+        settings.name, incarnation, is_suspect=poison.is_suspect
+    )
+    return GatewayComponents(
+        settings=settings,
+        cluster=cluster,
+        agents=AgentClient(),
+        floor=FloorConfirmer(
+            cluster, GrpcFloorClient(settings.name), build_floor_round
+        ),
+        claims=ClaimCoordinator(store, f"{settings.name}/{incarnation}"),
+        limiter=CustomerLimiter(),
+        poison=poison,
+        versions=versions,
+        predictor=OutputLengthPredictor(),
+        metrics=GatewayMetrics(),
+        background=BackgroundTasks(),
+        create_router=lambda: LeastCostRouter(
+            xxh64_intdigest(settings.name.encode()),
+            settings.region,
+            settings.failure_domain,
+        ),
+        create_retry_budget=RetryBudget,
+        hash_prefix=prefix_hashes,
+        services=(
+            StoreConnection(store),
+            RolloutService(cluster, store, versions, poison, settings.name),
+        ),
+    )
+
+
+class StoreConnection:
+    """Service that closes the connections to the store at the end."""
+
+    def __init__(self, store: ObjectApiClient) -> None:
+        self._store = store
+
+    async def async_start(self) -> None:
+        """Do nothing: the client connects on its first call."""
+
+    async def async_stop(self) -> None:
+        """Close the connections."""
+        await self._store.async_close()
+
+
+def build_floor_round(agents: Sequence[str], now_s: float) -> FloorRound:
+    """Return a round that confirms a floor at these agents.
+
+    The confirmer renews the floors itself, so the round never expires.
+    """
+    return FloorRound(
+        agents, floor_tier=HIGHEST_TIER, started_s=now_s, hold_s=inf
+    )
--- a/azurewick/rollout/decisions.py
+++ b/azurewick/rollout/decisions.py
@@ -83,6 +83,10 @@
         move = self._moves.get(offer.request_class)
         if move is None or move.version not in versions:
             return None
+        if not move.previous_version and len(set(versions)) > 2:
+            # Another version may be under test for another class, so the
+            # configured version of the class has to decide.
+            return None
         old = self._old_version(move, versions)
         if self._share(move) <= 0:
             return old if old is not None else NO_VERSION
@@ -93,6 +97,19 @@
         place = _hash(f"{move.id}/{offer.request_id}") / _HASH_RANGE
         return move.version if place < self._share(move) else old
 
+    def choose_fallback(
+        self, offer: Offer, refused: str, versions: Collection[str]
+    ) -> str | None:
+        """Return the version that may take what another one refused.
+
+        Only the old version may, when the new one has refused: otherwise an
+        overload of the old servers would raise the new one's share.
+        """
+        move = self._moves.get(offer.request_class)
+        if move is None or refused != move.version:
+            return None
+        return self._old_version(move, versions)
+
     def choose_servers(
         self, request_class: str, version: str, names: Iterable[str]
     ) -> frozenset[str]:
