Never choose a stopped version for want of the old one

With three live versions, no known old one and no configured version, the choice was left to the router, which could take a version that was cut or rolled back. The selector now names a version that is in no test. The planner keeps the previous version that the operator's command stored.

--- a/azurewick/rollout/decisions.py
+++ b/azurewick/rollout/decisions.py
@@ -86,7 +86,7 @@
         if not move.previous_version and len(set(versions)) > 2:
             # Another version may be under test for another class, so the
             # configured version of the class has to decide.
-            return None
+            return self._find_untested(move, versions)
         old = self._old_version(move, versions)
         if self._share(move) <= 0:
             return old if old is not None else NO_VERSION
@@ -213,6 +213,21 @@
             return 1.0
         return move.share if move.is_progressing else 0.0
 
+    def _find_untested(
+        self, move: VersionMove, versions: Collection[str]
+    ) -> str | None:
+        """Return a version in no test instead of one that was stopped.
+
+        None allows any version while the move is not stopped.
+        """
+        if move.is_progressing and move.id not in self._cuts:
+            return None
+        if move.state is MoveState.DONE:
+            return move.version
+        tested = {m.version for m in self._moves.values() if m.is_progressing}
+        others = set(versions) - tested - {move.version}
+        return max(others, default=NO_VERSION)
+
     def _old_version(
         self, move: VersionMove, versions: Collection[str]
     ) -> str | None:
--- a/azurewick/rollout/planner.py
+++ b/azurewick/rollout/planner.py
@@ -181,7 +181,7 @@
             phase=MovePhase.START,
             started_s=now_s,
             phase_since_s=now_s,
-            previous_version=fleet.old_version,
+            previous_version=move.previous_version or fleet.old_version,
             notice="",
         )
 
--- a/tests/fakes/test_object_api.py
+++ b/tests/fakes/test_object_api.py
@@ -109,16 +109,13 @@
             await self.async_call("GET", LEASES)
         await self.api.async_set_faults(type(self.api.faults)())
         self.assertEqual(200, (await self.async_call("GET", LEASES))[0])
-        faults = {"outage": "unavailable", "outage_s": 0.05}
+        faults = {"outage": "unavailable", "outage_s": 600}
         await self.async_call("POST", "/admin/faults", faults)
         await self.async_until(lambda: self.api.faults.outage == "unavailable")
-        await self.async_until(lambda: self.api.faults.outage == "none")
-
-    async def test_unavailable_answers_with_a_status(self):
-        faults = type(self.api.faults)(outage="unavailable")
-        await self.api.async_set_faults(faults)
         status, answer = await self.async_call("GET", LEASES)
         self.assertEqual((503, "Status"), (status, answer["kind"]))
+        await self.async_call("POST", "/admin/faults", {"outage_s": 0.01})
+        await self.async_until(lambda: self.api.faults.outage == "none")
 
 
 class ObjectApiLimitTest(FakeTestCase):
--- a/tests/rollout/test_assessment.py
+++ b/tests/rollout/test_assessment.py
@@ -47,38 +47,24 @@
         bad_both = [(BAD, "a", "s1"), (BAD, "a", "s2")]
         slow_both = [(SLOW, "a", "s1"), (SLOW, "b", "s2")]
         crash = {"requests": 1, "broken": 1, "crashes": 1}
+        both_crash = [(crash, "a", "s1"), (crash, "a", "s2")]
+        one_crashes = [two[1], (crash, "a", "s1")]
+        one_fails = [two[0], (BAD, "a", "s2")]
+        first_fails = [(BAD, "a", "s1")]
+        one_route = [*bad_both, (GOOD, "b", "s1")]
+        rejected = Verdict.REJECTED
         table = [
             ("good", 2, [(two, 100)], Verdict.ACCEPTED),
             ("too little", 2, [(two, 10)], Verdict.OPEN),
-            ("fails", 2, [(bad_both, 10)], Verdict.REJECTED),
-            ("slow", 2, [(slow_both, 25)], Verdict.REJECTED),
-            ("later", 2, [(two, 500), (bad_both, 10)], Verdict.REJECTED),
-            (
-                "one route",
-                2,
-                [(two, 20), ([*bad_both, (GOOD, "b", "s1")], 12)],
-                Verdict.REJECTED,
-            ),
-            ("one machine", 2, [([two[0], (BAD, "a", "s2")], 80)], None),
-            ("only server", 1, [([(BAD, "a", "s1")], 12)], Verdict.REJECTED),
-            (
-                "first of two servers",
-                2,
-                [([(BAD, "a", "s1")], 30)],
-                Verdict.OPEN,
-            ),
-            (
-                "crashes",
-                2,
-                [([(crash, "a", "s1"), (crash, "a", "s2")], 10)],
-                Verdict.REJECTED,
-            ),
-            (
-                "crashes of one machine",
-                2,
-                [([two[1], (crash, "a", "s1")], 50)],
-                None,
-            ),
+            ("fails", 2, [(bad_both, 10)], rejected),
+            ("slow", 2, [(slow_both, 25)], rejected),
+            ("later", 2, [(two, 500), (bad_both, 10)], rejected),
+            ("one route", 2, [(two, 20), (one_route, 12)], rejected),
+            ("one machine", 2, [(one_fails, 80)], None),
+            ("only server", 1, [(first_fails, 12)], rejected),
+            ("first of two servers", 2, [(first_fails, 30)], Verdict.OPEN),
+            ("crashes", 2, [(both_crash, 10)], rejected),
+            ("crashes of one machine", 2, [(one_crashes, 50)], None),
             ("other route", 2, [([two[0], two[2]], 150)], Verdict.OPEN),
         ]
         for name, servers, phases, expected in table:
@@ -86,11 +72,11 @@
                 self.setUp()
                 for parts, times in phases:
                     self.serve(*parts, times=times)
+                verdict = self.verdict(servers)
                 if expected is None:
-                    verdict = self.verdict(servers)
-                    self.assertIsNot(Verdict.REJECTED, verdict)
+                    self.assertIsNot(rejected, verdict)
                 else:
-                    self.assertIs(expected, self.verdict(servers))
+                    self.assertIs(expected, verdict)
 
     def test_a_fault_of_both_versions_is_not_the_new_one(self):
         for _ in range(100):
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -47,11 +47,9 @@
 
     def serve(self, share):
         for server in ("s1", "s2"):
-            requests = round(200 * share)
-            failures = min(requests, self.failures)
-            self.traffic.add(
-                NEW, server=server, requests=requests, failures=failures
-            )
+            counts = {"requests": round(200 * share)}
+            counts["failures"] = min(counts["requests"], self.failures)
+            self.traffic.add(NEW, server=server, **counts)
         self.traffic.add(OLD, requests=round(400 * (1 - share)))
 
 
@@ -204,10 +202,9 @@
             with self.subTest(number=number):
                 await self.asyncSetUp()
                 item = await self.store.async_get("versionmoves", "quick")
-                status = build_move(
-                    fencing_number=stored, started_s=1.0
-                ).as_status()
-                await self.store.async_update(replace(item, status=status))
+                move = build_move(fencing_number=stored, started_s=1.0)
+                held = replace(item, status=move.as_status())
+                await self.store.async_update(held)
                 self.platform.number = number
                 await self.controller.async_step(1000.0)
                 self.assertEqual(1, self.store.calls["update"])
@@ -219,11 +216,10 @@
         listed = await self.store.async_list("versionmoves")
         await self.store.async_update(cancelled)
         # The controller acts on what it listed before the cancel.
-        advance = self.controller._async_try_advance
         self.platform.cut = VersionCut(
             request_class="quick", version=NEW, move_id="m1", reason="slow"
         )
-        await advance(listed.items[0], 5, 1002.0)
+        await self.controller._async_try_advance(listed.items[0], 5, 2.0)
         self.assertIs(MoveState.CANCELLED, self.stored().state)
         await self.controller.async_step(1004.0)
         status = self.store.objects.get("versionmoves", "quick")["status"]
--- a/tests/rollout/test_decisions.py
+++ b/tests/rollout/test_decisions.py
@@ -105,6 +105,21 @@
         self.use(share=0.0, previous_version=OLD)
         self.assertEqual(OLD, self.choose(three))
 
+    def test_a_stopped_version_is_not_one_of_any(self):
+        # v9 is under test for another class.
+        moves = [build_move(share=0.05)]
+        moves.append(build_move(id="m9", request_class="x", version="v9"))
+        self.selector.update_moves(moves)
+        self.fail()
+        self.assertEqual(OLD, self.choose((OLD, NEW, "v9")))
+        done = {"state": MoveState.DONE, "share": 1.0}
+        for state, expected in (
+            (done, NEW),
+            ({"state": MoveState.ROLLED_BACK, "share": 0.0}, OLD),
+        ):
+            self.selector.update_moves([build_move(**state), moves[1]])
+            self.assertEqual(expected, self.choose((OLD, NEW, "v9")))
+
     def test_own_evidence_cuts_at_once(self):
         self.use(share=1.0)
         self.fail()
--- a/tests/rollout/test_evidence.py
+++ b/tests/rollout/test_evidence.py
@@ -38,32 +38,26 @@
 
     def learn(self):
         for number in range(100):
-            first_token_s = 0.1 + number / 1000
-            self.record(
-                build_result(
-                    first_token_s=first_token_s,
-                    duration_s=first_token_s + 0.9,
-                ),
-                version=OLD,
+            first_s = 0.1 + number / 1000
+            result = build_result(
+                first_token_s=first_s, duration_s=first_s + 0.9
             )
+            self.record(result, version=OLD)
 
     def test_outcomes_of_a_new_version(self):
         slow_start = {"first_token_s": 0.5, "duration_s": 1.4}
         late_cancel = {"first_token_s": None, "duration_s": 5.0}
         early_cancel = {"first_token_s": None, "duration_s": 0.05}
         cached = {"prompt_tokens": 5000, "cached_tokens": 4900}
+        # No old request had such a size, so nothing is compared.
+        other_size = {"prompt_tokens": 5000, "output_tokens": 1}
         status = OfferStatus
         table = [
             (status.FINISHED, {}, Counts(1)),
             (status.FINISHED, slow_start, Counts(1, slow=1)),
             (status.FINISHED, {"duration_s": 3.0}, Counts(1, slow=1)),
             (status.FINISHED, cached | slow_start, Counts(1, slow=1)),
-            # No old request had such a size, so nothing is compared.
-            (
-                status.FINISHED,
-                slow_start | {"prompt_tokens": 5000, "output_tokens": 1},
-                Counts(1),
-            ),
+            (status.FINISHED, slow_start | other_size, Counts(1)),
             (status.FAILED, {}, Counts(1, failures=1)),
             (status.BROKEN, {}, Counts(1, broken=1, crashes=1)),
             (status.REFUSED, {}, Counts()),
