--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -7,6 +7,8 @@
 from unittest import TestCase
 
 from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
 from azurewick.rollout.coordinator import MoveCoordinator
 from azurewick.rollout.decisions import VersionCut
 from azurewick.rollout.models import MoveState
@@ -45,14 +47,29 @@
 
     def serve(self, share):
         for server in ("s1", "s2"):
-            requests = round(200 * share)
-            failures = min(requests, self.failures)
-            self.traffic.add(
-                NEW, server=server, requests=requests, failures=failures
-            )
+            counts = {"requests": round(200 * share)}
+            counts["failures"] = min(counts["requests"], self.failures)
+            self.traffic.add(NEW, server=server, **counts)
         self.traffic.add(OLD, requests=round(400 * (1 - share)))
 
 
+class RefusingStore(MemoryStore):
+    """Store that is rate limited for writes while refused is set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refused = False
+        self.refusals = 0
+
+    async def async_update(self, item):
+        if not self.refused:
+            return await super().async_update(item)
+        self.refusals += 1
+        raise AzurewickError(
+            ErrorCode.STORE_RATE_LIMITED, "too many", step=Step.STORE
+        )
+
+
 class MoveCoordinatorTest(IsolatedAsyncioTestCase):
     """Guards against a move that is lost, repeated or written wrongly."""
 
@@ -146,6 +163,24 @@
         self.assertIs(MoveState.DONE, self.stored().state)
         self.assertLess(self.store.calls["update"], 12)
 
+    async def test_a_write_that_failed_is_tried_again_at_once(self):
+        self.store = RefusingStore()
+        self.controller = self.new_controller()
+        await self.store.async_create(
+            PLURAL_VERSION_MOVES, "quick", build_move().as_spec()
+        )
+
+        def refuse(step):
+            self.store.refused = step % 2 == 0
+
+        shares = await self.async_run(refuse)
+        # Each step of the move is written, at the latest 2 s after it was
+        # decided, so that the move is not later than without the fault.
+        self.assertEqual([0.01, 0.05, 0.01, 0.1, 0.25, 0.5, 1.0], shares)
+        self.assertIs(MoveState.DONE, self.stored().state)
+        self.assertLessEqual(self.now_s, 2000)
+        self.assertLess(self.store.refusals, 12)
+
     async def test_a_verdict_outlives_an_outage_of_the_store(self):
         for _ in range(40):
             await self.controller.async_step(float(self.now_s))
@@ -167,10 +202,9 @@
             with self.subTest(number=number):
                 await self.asyncSetUp()
                 item = await self.store.async_get("versionmoves", "quick")
-                status = build_move(
-                    fencing_number=stored, started_s=1.0
-                ).as_status()
-                await self.store.async_update(replace(item, status=status))
+                move = build_move(fencing_number=stored, started_s=1.0)
+                held = replace(item, status=move.as_status())
+                await self.store.async_update(held)
                 self.platform.number = number
                 await self.controller.async_step(1000.0)
                 self.assertEqual(1, self.store.calls["update"])
@@ -182,11 +216,10 @@
         listed = await self.store.async_list("versionmoves")
         await self.store.async_update(cancelled)
         # The controller acts on what it listed before the cancel.
-        advance = self.controller._async_try_advance
         self.platform.cut = VersionCut(
             request_class="quick", version=NEW, move_id="m1", reason="slow"
         )
-        await advance(listed.items[0], 5, 1002.0)
+        await self.controller._async_try_advance(listed.items[0], 5, 2.0)
         self.assertIs(MoveState.CANCELLED, self.stored().state)
         await self.controller.async_step(1004.0)
         status = self.store.objects.get("versionmoves", "quick")["status"]
