Test that an isolated gateway reads the store itself

Cause: the rule for gateways that no other answers had no test.

Change: a test in virtual time with 60 listed gateways that refuse all connections.

--- a/tests/membership/test_coordinator.py
+++ b/tests/membership/test_coordinator.py
@@ -2,17 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 from unittest import IsolatedAsyncioTestCase
 
 from azurewick.helpers.clock import monotonic_s
 from azurewick.membership.coordinator import ClusterState
+from bench.counting_store import CountingStore
+from bench.virtual_time import run_virtual
 from tests.membership.builders import agent_spec
 from tests.membership.builders import async_until
 from tests.membership.builders import configuration_spec
 from tests.membership.builders import gateway_settings
+from tests.membership.builders import gateway_spec
 from tests.platform.builders import MemoryStore
 
 
+class RefusingTransport:
+    """Transport to gateways that all refuse connections."""
+
+    async def async_call(self, address, request):
+        raise ConnectionRefusedError(address)
+
+    def close(self):
+        pass
+
+
 class ClusterStateTest(IsolatedAsyncioTestCase):
     """Guards the configuration that a gateway uses through store faults."""
 
@@ -34,3 +48,30 @@
         store.set_down(False)
         await async_until(lambda: cluster.snapshot.revision == last.version)
         self.assertEqual(2, len(cluster.snapshot.customers))
+
+    def test_gateway_without_any_contact_reads_the_store(self):
+        """It would otherwise lose one gateway after the other first."""
+
+        async def async_measure():
+            loop = asyncio.get_running_loop()
+            store = CountingStore()
+            store.put("configurations", "fleet", configuration_spec())
+            for number in range(60):
+                store.put("instances", f"gateway-{number}", gateway_spec())
+            # The list shows many others before this one.
+            node = ClusterState(
+                gateway_settings("gateway-7"),
+                store,
+                loop.time,
+                incarnation="i",
+                transport=RefusingTransport(),
+            )
+            await node.async_start()
+            await asyncio.sleep(8.0)
+            early = node.is_ready, node.is_relay
+            await asyncio.sleep(8.0)
+            return early, (node.is_ready, node.is_relay)
+
+        self.assertEqual(
+            ((False, False), (True, True)), run_virtual(async_measure())
+        )
