--- a/azurewick/claims/shard.py
+++ b/azurewick/claims/shard.py
@@ -45,7 +45,9 @@
         self._item: StoredObject | None = None
         self._head: ShardHead | None = None
         self._keys: dict[str, KeyIndex] = {}
-        self._doubtful: set[str] = set()
+        # Own segments that no head may list, with the version of the head
+        # against which their update was sent; None when none was sent.
+        self._doubtful: dict[str, int | None] = {}
 
     @property
     def is_cached(self) -> bool:
@@ -100,7 +102,7 @@
             claims = await self._async_read_segment(name)
             self._keys[name] = KeyIndex(claims)
         self._item, self._head = item, head
-        await self._async_remove_doubtful(head)
+        await self._async_remove_doubtful(head, item.version)
 
     async def _async_decide(
         self, operations: Sequence[Operation]
@@ -152,11 +154,13 @@
             # The name is unique: a writer that loses the race for the head
             # must not change a segment that the winner lists.
             name = f"{self._name}-{uuid4().hex[:12]}"
-            self._doubtful.add(name)
+            self._doubtful[name] = None
+            self._head = None
             await self._store.async_create(
                 PLURAL_CLAIMS, name, {"claims": encode_claims(roll.settled)}
             )
             head = add_segment(roll.head, name, roll.settled)
+            self._doubtful[name] = self._item.version if self._item else 0
         # The cache stays empty when the update fails or its result is lost.
         self._head = None
         spec = encode_head(head, self._shards)
@@ -169,10 +173,11 @@
                 replace(self._item, spec=spec)
             )
         if roll is not None:
-            self._doubtful.discard(name)
+            self._doubtful.pop(name)
             self._keys[name] = KeyIndex(roll.settled)
         self._head = head
         await self._async_remove(before, head)
+        await self._async_remove_doubtful(head, self._item.version)
 
     async def _async_remove(self, before: ShardHead, after: ShardHead) -> None:
         """Delete the segments that have expired; a failure leaves them."""
@@ -183,14 +188,21 @@
             self._keys.pop(name, None)
             await self._async_delete(name)
 
-    async def _async_remove_doubtful(self, head: ShardHead) -> None:
+    async def _async_remove_doubtful(
+        self, head: ShardHead, version: int
+    ) -> None:
         """Delete own segments that no head can list any more.
 
-        Their update was conditional on an older version than this head's.
+        While the head has the version against which a segment's update was
+        sent, that update may still take effect.
         """
-        doubtful, self._doubtful = self._doubtful, set()
-        for name in doubtful - {segment.name for segment in head.segments}:
-            await self._async_delete(name)
+        listed = {segment.name for segment in head.segments}
+        for name, base in list(self._doubtful.items()):
+            if name in listed:
+                del self._doubtful[name]
+            elif base != version:
+                del self._doubtful[name]
+                await self._async_delete(name)
 
     async def _async_delete(self, name: str) -> None:
         try:
