Count failed answers of backend servers against the service level

An answer with a status of 500 and above was counted as ok and left out of the service level. It now has the code backend_failed and counts as not good. Refusals that two modules repeated are in gateway/refusals.py.

--- a/azurewick/gateway/filters/admission.py
+++ b/azurewick/gateway/filters/admission.py
@@ -11,10 +11,11 @@
 from azurewick.gateway.protocols import ClusterState
 from azurewick.gateway.protocols import CustomerLimiter
 from azurewick.gateway.protocols import PoisonDetector
+from azurewick.gateway.refusals import refuse_not_ready
+from azurewick.gateway.refusals import refuse_poison
 from azurewick.helpers.clock import monotonic_s
 
 RETRY_AFTER_DRAINING_S = 1.0
-RETRY_AFTER_NOT_READY_S = 1.0
 
 
 class ReadinessFilter:
@@ -39,11 +40,8 @@
                 retry_after_s=RETRY_AFTER_DRAINING_S,
             )
         if not self._cluster.is_ready:
-            raise AzurewickError(
-                ErrorCode.NOT_READY,
-                "gateway has no view of the cluster yet",
-                step=Step.RECEIVE,
-                retry_after_s=RETRY_AFTER_NOT_READY_S,
+            raise refuse_not_ready(
+                "gateway has no view of the cluster yet", Step.RECEIVE
             )
 
 
@@ -75,11 +73,7 @@
         """Set the fingerprint; refuse it when it is poison."""
         context.fingerprint = build_fingerprint(context)
         if self._detector.is_poison(context.fingerprint, monotonic_s()):
-            raise AzurewickError(
-                ErrorCode.POISON_REQUEST,
-                "request content has crashed several backend servers",
-                step=Step.SELECT,
-            )
+            raise refuse_poison()
 
 
 class IdempotencyKeyFilter:
--- a/azurewick/gateway/filters/identity.py
+++ b/azurewick/gateway/filters/identity.py
@@ -10,6 +10,7 @@
 from azurewick.errors import Step
 from azurewick.gateway.context import RequestContext
 from azurewick.gateway.protocols import ClusterState
+from azurewick.gateway.refusals import refuse_not_ready
 from azurewick.models import PoolKind
 from azurewick.models import RequestClass
 
@@ -20,11 +21,8 @@
 def require_snapshot(cluster: ClusterState) -> ConfigurationSnapshot:
     """Return the configuration; raises not_ready when there is none."""
     if cluster.snapshot is None:
-        raise AzurewickError(
-            ErrorCode.NOT_READY,
-            "no configuration has been received yet",
-            step=Step.RECEIVE,
-            retry_after_s=1.0,
+        raise refuse_not_ready(
+            "no configuration has been received yet", Step.RECEIVE
         )
     return cluster.snapshot
 
--- a/azurewick/gateway/offer.py
+++ b/azurewick/gateway/offer.py
@@ -12,6 +12,7 @@
 from azurewick.errors import Step
 from azurewick.gateway.offer_run import OfferRun
 from azurewick.gateway.pool import PoolState
+from azurewick.gateway.refusals import refuse_not_ready
 from azurewick.gateway.running import RunningRequest
 from azurewick.gateway.wiring import GatewayComponents
 from azurewick.helpers.clock import monotonic_s
@@ -113,10 +114,9 @@
     ) -> None:
         tier = running.context.request_class.tier
         if not await self._components.floor.async_confirm(pool.name, tier):
-            raise AzurewickError(
-                ErrorCode.NOT_READY,
+            raise refuse_not_ready(
                 "admission floor of the pool could not be confirmed",
-                step=Step.SELECT,
+                Step.SELECT,
             )
 
     async def _async_offer(
--- a/azurewick/gateway/offer_run.py
+++ b/azurewick/gateway/offer_run.py
@@ -221,6 +221,9 @@
     def _record_finished(self, head: AnswerHead) -> None:
         if head.status >= 500:
             self._record(OfferStatus.FAILED)
+            self._components.metrics.count_level(
+                self._offer.request_class, False
+            )
             if self._is_crash_answer(head):
                 self._record_suspicion()
             return
--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -12,6 +12,7 @@
 from azurewick.errors import Step
 from azurewick.gateway.agent_client import parse_load
 from azurewick.gateway.context import RequestContext
+from azurewick.gateway.refusals import refuse_poison
 from azurewick.gateway.wiring import GatewayComponents
 from azurewick.helpers.clock import monotonic_s
 from azurewick.models import BackendServer
@@ -116,11 +117,7 @@
             if not names:
                 return _no_server()
             if self._components.poison.is_poison(context.fingerprint, now_s):
-                raise AzurewickError(
-                    ErrorCode.POISON_REQUEST,
-                    "request content has crashed several backend servers",
-                    step=Step.SELECT,
-                )
+                raise refuse_poison()
             name = self._placement.acquire(
                 context.fingerprint,
                 context.request_id,
--- a/azurewick/gateway/server.py
+++ b/azurewick/gateway/server.py
@@ -239,8 +239,9 @@
             )
         finally:
             self._executor.leave(running)
+        code = CODE_OK if response.status < 500 else ErrorCode.BACKEND_FAILED
         self._components.metrics.count_request(
-            context.class_label, Outcome.RAN, CODE_OK
+            context.class_label, Outcome.RAN, code
         )
         return response
 
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -6,6 +6,7 @@
 from unittest import IsolatedAsyncioTestCase
 from unittest import TestCase
 
+from aiohttp import web
 from aioprometheus.renderer import render
 
 from azurewick.errors import AzurewickError
@@ -71,6 +72,20 @@
                 self.assertIn('level_total{class="quick"} 1', text)
                 self.assertNotIn('level_good_total{class="quick"}', text)
 
+    async def test_failure_of_a_backend_server_is_not_good(self):
+        async def async_fail(agent, request):
+            return web.Response(
+                status=500, text="{}", headers={"X-Azurewick-Outcome": "ran"}
+            )
+
+        agent = FakeAgent("agent-1", behaviour=async_fail)
+        async with GatewayBench(agent) as bench:
+            self.assertEqual(500, (await bench.async_post())[0])
+            text = render_text(bench)
+        self.assertIn('code="backend_failed",outcome="ran"} 1', text)
+        self.assertIn('level_total{class="quick"} 1', text)
+        self.assertNotIn('level_good_total{class="quick"}', text)
+
 
 class RetryAfterTest(TestCase):
     """Guards against callers that all return in the same second."""
