Correct the test of an isolated gateway

Change: the test takes the gateway of the last rank.

Conclusion: the test now fails with the rule off and passes with it.

--- a/tests/membership/test_coordinator.py
+++ b/tests/membership/test_coordinator.py
@@ -5,8 +5,10 @@
 import asyncio
 from unittest import IsolatedAsyncioTestCase
 
+from azurewick.control.topology import rank_gateways
 from azurewick.helpers.clock import monotonic_s
 from azurewick.membership.coordinator import ClusterState
+from azurewick.membership.view import parse_instances
 from bench.counting_store import CountingStore
 from bench.virtual_time import run_virtual
 from tests.membership.builders import agent_spec
@@ -55,12 +57,15 @@
         async def async_measure():
             loop = asyncio.get_running_loop()
             store = CountingStore()
+            specs = {f"gateway-{n}": gateway_spec() for n in range(60)}
             store.put("configurations", "fleet", configuration_spec())
-            for number in range(60):
-                store.put("instances", f"gateway-{number}", gateway_spec())
-            # The list shows many others before this one.
+            for name, spec in specs.items():
+                store.put("instances", name, spec)
+            # A gateway of the last rank has to lose 58 others to be a relay.
+            listed = parse_instances(specs).gateways.values()
+            last = rank_gateways(listed, "lima-a")[-1]
             node = ClusterState(
-                gateway_settings("gateway-7"),
+                gateway_settings(last.name),
                 store,
                 loop.time,
                 incarnation="i",
