--- a/azurewick/routing/cost.py
+++ b/azurewick/routing/cost.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 import math
-from statistics import median
 from typing import Final
 
 from azurewick.models import LoadReport
@@ -185,24 +184,20 @@
         return max(self.inter_token_s, reported_s or 0.0)
 
 
-def pool_means(
-    estimates: Iterable[ServerEstimate],
-) -> tuple[float, float, float]:
-    """Return mean reported wait, mean occupancy, median rate of prefill.
+def pool_means(estimates: Iterable[ServerEstimate]) -> tuple[float, float]:
+    """Return the mean reported wait, in seconds, and the mean occupancy.
 
     They stand in for what an old report no longer tells.
     """
-    reported = [item for item in estimates if item.report is not None]
-    if not reported:
-        return 0.0, 0.0, DEFAULT_PREFILL_TOKENS_PER_S
-    wait_s = sum(item.reported_wait_s() for item in reported) / len(reported)
+    reports = [item.report for item in estimates if item.report is not None]
+    if not reports:
+        return 0.0, 0.0
+    wait_s = sum(report.queued_work_s for report in reports) / len(reports)
     occupancy = sum(
-        (item.report.running + item.report.queued) / item.batch_limit
-        for item in reported
-        if item.report is not None
-    ) / len(reported)
-    prefill = median(item.prefill_tokens_per_s for item in reported)
-    return wait_s, occupancy, prefill
+        (report.running + report.queued) / max(1, report.batch_limit)
+        for report in reports
+    ) / len(reports)
+    return wait_s, occupancy
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/azurewick/routing/selector.py
+++ b/azurewick/routing/selector.py
@@ -39,6 +39,9 @@
 REGION_LINK_BYTES_PER_S: Final = 15e6 / 8 / 10
 BYTES_PER_PROMPT_TOKEN: Final = 4
 BYTES_PER_OUTPUT_TOKEN: Final = 75
+# Means and suspects are found again after this time; both need a look at
+# all servers, of which a large pool has hundreds.
+REFRESH_INTERVAL_S: Final = 0.05
 # A straggler gets one request at a time after a delay that doubles.
 FIRST_PROBE_DELAY_S: Final = 2.0
 MAX_PROBE_DELAY_S: Final = 30.0
@@ -58,6 +61,10 @@
         self._servers: dict[str, BackendServer] = {}
         self._estimates: dict[str, ServerEstimate] = {}
         self._affinity = PrefixAffinity()
+        self._refresh_due_s = 0.0
+        self._mean_wait_s = 0.0
+        self._mean_occupancy = 0.0
+        self._suspects: set[str] = set()
         self._plans: dict[str, PrefixPlan | None] = {}
 
     def update_servers(self, servers: Sequence[BackendServer]) -> None:
@@ -71,6 +78,7 @@
             for name in self._servers
         }
         self._affinity.update_servers(self._servers)
+        self._refresh_due_s = 0.0
 
     def record_report(self, report: LoadReport, now_s: float) -> None:
         """Record a load report that arrived at now_s."""
@@ -101,7 +109,8 @@
         ]
         if not names:
             return None
-        suspects = self._find_suspects(names, now_s)
+        self._refresh(now_s)
+        suspects = self._suspects.intersection(names)
         probe = self._find_probe(suspects, now_s)
         if probe is not None:
             return probe
@@ -119,14 +128,13 @@
         estimate = self._estimates.get(name)
         if estimate is None:
             return
-        wait_s, occupancy, _ = pool_means(self._estimates.values())
         cached_tokens = self.expected_cached_tokens(offer, name)
         cost = estimate_cost(
             estimate,
             offer,
             cached_tokens=cached_tokens,
-            mean_wait_s=wait_s,
-            mean_occupancy=occupancy,
+            mean_wait_s=self._mean_wait_s,
+            mean_occupancy=self._mean_occupancy,
             now_s=now_s,
         )
         estimate.sent[offer.request_id] = SentOffer(
@@ -166,6 +174,16 @@
         report = self._estimates[name].report
         return report is not None and report.draining
 
+    def _refresh(self, now_s: float) -> None:
+        """Look at all servers, at most once in a refresh interval."""
+        if now_s < self._refresh_due_s:
+            return
+        self._refresh_due_s = now_s + REFRESH_INTERVAL_S
+        self._mean_wait_s, self._mean_occupancy = pool_means(
+            self._estimates.values()
+        )
+        self._suspects = self._find_suspects(list(self._servers), now_s)
+
     def _find_suspects(self, names: list[str], now_s: float) -> set[str]:
         """Return the servers that are slow, silent or failing."""
         speeds = {
@@ -206,7 +224,6 @@
     def _choose_least_cost(
         self, offer: Offer, names: list[str], now_s: float
     ) -> str:
-        wait_s, occupancy, _ = pool_means(self._estimates.values())
         subset = self._random.sample(names, min(SUBSET_SIZE, len(names)))
         plan = self._plan(offer, names)
         holders = plan.placements if plan is not None else {}
@@ -220,8 +237,8 @@
                 cached_tokens=self._affinity.cached_tokens(
                     offer.request_class, plan, name
                 ),
-                mean_wait_s=wait_s,
-                mean_occupancy=occupancy,
+                mean_wait_s=self._mean_wait_s,
+                mean_occupancy=self._mean_occupancy,
                 now_s=now_s,
             )
             total_s = (
