--- a/azurewick/routing/cost.py
+++ b/azurewick/routing/cost.py
@@ -20,9 +20,6 @@
 # Doubt, in seconds of waiting, that a second of a report's age adds.
 DOUBT_PER_S: Final = 0.02
 MAX_DOUBT_S: Final = 0.5
-# A refusal is news of a server's load when its report is old.
-REFUSAL_S: Final = 2.0
-REFUSAL_TIME_CONSTANT_S: Final = 2.0
 SPEED_SMOOTHING: Final = 0.4
 # The two hardware generations differ by less than this factor; a server
 # slower than the pool's median by more is a straggler.
@@ -57,7 +54,6 @@
         # Measured seconds between tokens, None before the first result.
         self.inter_token_s: float | None = None
         self.failures = 0
-        self.refused_s: float | None = None
         self.probe_after_s = 0.0
         self.probe_delay_s = 0.0
 
@@ -114,8 +110,6 @@
         if result.status in (OfferStatus.FAILED, OfferStatus.BROKEN):
             self.failures += 1
             return
-        if result.status is OfferStatus.REFUSED:
-            self.refused_s = now_s
         if result.status is not OfferStatus.FINISHED:
             return
         self.failures = 0
@@ -168,13 +162,6 @@
                 prefill_s += weight * sent.prefill_s
         return service_s, prefill_s
 
-    def refusal_s(self, now_s: float) -> float:
-        """Return the wait that a refusal since the last report suggests."""
-        if self.refused_s is None or self.refused_s < self.reported_s:
-            return 0.0
-        age_s = max(0.0, now_s - self.refused_s)
-        return REFUSAL_S * math.exp(-age_s / REFUSAL_TIME_CONSTANT_S)
-
     def is_overdue(self, now_s: float) -> bool:
         """Return whether an answer that should have begun has not.
 
@@ -252,7 +239,6 @@
         wait_s += own_service_s
     else:
         wait_s += own_prefill_s
-    wait_s += estimate.refusal_s(now_s)
     prefill_s = (
         max(0.0, offer.prompt_tokens - cached_tokens)
         / estimate.prefill_tokens_per_s
