--- a/azurewick/agent/dispatcher.py
+++ b/azurewick/agent/dispatcher.py
@@ -12,6 +12,7 @@
 from dataclasses import field
 
 from azurewick.admission.dispatch_window import DispatchWindow
+from azurewick.admission.dispatch_window import remaining_s
 from azurewick.admission.models import QueuedRequest
 from azurewick.agent.interfaces import ConcurrencyLimit
 from azurewick.agent.interfaces import Floor
@@ -46,6 +47,15 @@
     timer: TimerHandle | None = None
 
 
+@dataclass(kw_only=True, slots=True)
+class _Prefill:
+    """Request without a first token; the timer ends it when expected."""
+
+    started_s: float
+    expected_s: float
+    timer: TimerHandle
+
+
 @dataclass(kw_only=True, slots=True)
 class DispatcherState:
     """Conditions under which the agent takes no work."""
@@ -74,7 +84,7 @@
     state: DispatcherState = field(default_factory=DispatcherState)
     _waiters: dict[str, _Waiter] = field(default_factory=dict)
     _running: dict[str, Slot] = field(default_factory=dict)
-    _prefilling: dict[str, TimerHandle] = field(default_factory=dict)
+    _prefilling: dict[str, _Prefill] = field(default_factory=dict)
 
     @property
     def running(self) -> int:
@@ -104,7 +114,8 @@
     @property
     def queued_work_s(self) -> float:
         """Return the time the queue needs at the learned rates."""
-        return sum(waiter.item.cost_s for waiter in self._waiters.values())
+        queued_s = sum(w.item.cost_s for w in self._waiters.values())
+        return queued_s + self._busy_s(self.clock())
 
     @property
     def is_ready(self) -> bool:
@@ -232,7 +243,10 @@
         while self._waiters and self.window.is_open(
             self.running, len(self._prefilling), self.limit.limit
         ):
-            taken = self.queue.take(self.floor.current(now_s), now_s)
+            floor_tier = self.window.open_floor(
+                self.running, self.limit.limit, self.floor.current(now_s)
+            )
+            taken = self.queue.take(floor_tier, now_s)
             for item in taken.expired:
                 self._refuse(item.request_id, self._expired())
             if taken.item is None:
@@ -260,12 +274,13 @@
                 offer, limit, is_model=self.is_model
             ),
         )
-        decision = self.queue.offer(item, now_s)
+        decision = self.queue.offer(item, now_s, self._busy_s(now_s))
         if not decision.accepted:
             self.ledger.refuse(offer.request_id)
             raise self._error(
                 decision.reason or ErrorCode.OVERLOADED,
                 "the agent's queue takes no request of this tier",
+                decision.retry_after_s,
             )
         self._displace(decision.displaced)
         loop = get_running_loop()
@@ -291,18 +306,26 @@
     def _start_prefill(self, slot: Slot) -> None:
         # An answer that is not streamed doesn't show its first token, so
         # the expected time ends its prefill.
-        self._prefilling[slot.offer.request_id] = (
-            get_running_loop().call_later(
-                self.rates.expected_prefill_s(slot.offer),
-                self.record_first_token,
-                slot,
-            )
+        expected_s = self.rates.expected_prefill_s(slot.offer)
+        self._prefilling[slot.offer.request_id] = _Prefill(
+            started_s=self.clock(),
+            expected_s=expected_s,
+            timer=get_running_loop().call_later(
+                expected_s, self.record_first_token, slot
+            ),
         )
 
     def _end_prefill(self, request_id: str) -> None:
-        timer = self._prefilling.pop(request_id, None)
-        if timer is not None:
-            timer.cancel()
+        prefill = self._prefilling.pop(request_id, None)
+        if prefill is not None:
+            prefill.timer.cancel()
+
+    def _busy_s(self, now_s: float) -> float:
+        """Return the time until the engine can begin another prefill."""
+        return sum(
+            remaining_s(prefill.expected_s, now_s - prefill.started_s)
+            for prefill in self._prefilling.values()
+        )
 
     def _abandon(self, waiter: _Waiter) -> None:
         request_id = waiter.offer.request_id
--- a/azurewick/agent/interfaces.py
+++ b/azurewick/agent/interfaces.py
@@ -20,6 +20,10 @@
     def reason(self) -> ErrorCode | None:
         """Return why the request was refused."""
 
+    @property
+    def retry_after_s(self) -> float | None:
+        """Return the time until the queue has drained enough."""
+
     @property
     def displaced(self) -> tuple[QueuedRequest, ...]:
         """Return the requests that had to make room."""
@@ -40,8 +44,10 @@
 class RequestQueue(Protocol):
     """Queue in tier order (azurewick.admission.tier_queue)."""
 
-    def offer(self, item: QueuedRequest, now_s: float) -> QueueDecision:
-        """Add a request or refuse it."""
+    def offer(
+        self, item: QueuedRequest, now_s: float, busy_s: float = 0.0
+    ) -> QueueDecision:
+        """Add a request or refuse it; busy_s goes before every wait."""
 
     def take(self, floor_tier: int, now_s: float) -> TakeDecision:
         """Remove and return the next request at or above the floor."""
--- a/azurewick/gateway/context.py
+++ b/azurewick/gateway/context.py
@@ -46,6 +46,7 @@
     fingerprint: str = ""
     accept_body: Callable[[], Awaitable[None]] | None = None
     prefix_hashes: tuple[str, ...] | None = None
+    is_late: bool = False
     customer: Customer = field(init=False)
     request_class: RequestClass = field(init=False)
 
@@ -57,8 +58,13 @@
 
     @property
     def deadline_s(self) -> float | None:
-        """Return the monotonic time at which the target is missed."""
+        """Return the monotonic time at which the target is missed.
+
+        A request that is answered late has none.
+        """
         budget_s = self.request_class.target.start_budget_s
+        if self.is_late:
+            return None
         return None if budget_s is None else self.received_s + budget_s
 
     @property
--- a/azurewick/gateway/offer.py
+++ b/azurewick/gateway/offer.py
@@ -58,7 +58,7 @@
         AzurewickError; only the outcome not_run says that it was not run.
         """
         progress = _Progress()
-        pool.retry_budget.record_request(monotonic_s())
+        pool.record_request(running.context)
         while True:
             server = await pool.async_choose(
                 running.context, frozenset(progress.excluded)
@@ -97,6 +97,11 @@
         agent gets a request once, because its ledger refuses known ids.
         """
         budget = pool.retry_budget
+        if running.context.is_late:
+            needs_floor = error.code in SHED_CODES
+            if needs_floor and not progress.floor_confirmed:
+                await self._async_confirm_floor(running, pool)
+            return False
         can_go_on = not progress.none_left and progress.offers < MAX_OFFERS
         needs_floor = error.code in SHED_CODES and not progress.floor_confirmed
         is_last = progress.offers == MAX_OFFERS - 1
@@ -105,6 +110,13 @@
                 return True
         if not needs_floor:
             return False
+        if pool.may_answer_late(running.context, error):
+            # The budget of late answers is smaller than the harm of a
+            # refusal, which stops all lower tiers of the pool.
+            running.context.is_late = True
+            progress.excluded.clear()
+            progress.none_left = False
+            return True
         await self._async_confirm_floor(running, pool)
         progress.floor_confirmed = True
         return can_go_on and budget.try_retry(monotonic_s())
--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -4,9 +4,12 @@
 
 from asyncio import Event
 from asyncio import timeout
+from dataclasses import replace
 
 from aiohttp import ClientResponse
 
+from azurewick.admission.retry_budget import build_late_budget
+from azurewick.admission.retry_budget import RetryBudget
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
@@ -40,6 +43,7 @@
         self._components = components
         self._servers: dict[str, BackendServer] = {}
         self._placement = SuspectPlacement()
+        self._late_budgets: dict[int, RetryBudget] = {}
         self._suspect_ended = Event()
         components.cluster.async_add_load_listener(self._take_shared_load)
 
@@ -200,6 +204,31 @@
             offer.request_class, version, names
         )
 
+    def record_request(self, context: RequestContext) -> None:
+        """Count a request for the budgets of retries and late answers."""
+        now_s = monotonic_s()
+        self.retry_budget.record_request(now_s)
+        self._late_budget(context.request_class.tier).record_request(now_s)
+
+    def may_answer_late(
+        self, context: RequestContext, error: AzurewickError
+    ) -> bool:
+        """Take a late answer from the tier's budget if it has one.
+
+        Only a request that protects lower tiers from its refusal gets one.
+        """
+        tier = context.request_class.tier
+        if context.is_late or error.code is not ErrorCode.TARGET_UNREACHABLE:
+            return False
+        if not self._components.floor.has_lower_tier(self.name, tier):
+            return False
+        return self._late_budget(tier).try_retry(monotonic_s())
+
+    def _late_budget(self, tier: int) -> RetryBudget:
+        if tier not in self._late_budgets:
+            self._late_budgets[tier] = build_late_budget()
+        return self._late_budgets[tier]
+
     def release(self, context: RequestContext) -> None:
         """Note that an offer has ended."""
         self._placement.release(context.fingerprint, context.request_id)
@@ -212,7 +241,7 @@
         deadline_s = context.deadline_s
         if context.prefix_hashes is None:
             context.prefix_hashes = self._components.hash_prefix(context.body)
-        return Offer(
+        offer = Offer(
             request_id=context.request_id,
             customer=context.customer.name,
             request_class=request_class.name,
@@ -237,6 +266,10 @@
             incarnation="" if report is None else report.incarnation,
             prefix_hashes=context.prefix_hashes,
         )
+        if not server:
+            return offer
+        cached_tokens = self.router.expected_cached_tokens(offer, server)
+        return replace(offer, expected_cached_tokens=cached_tokens)
 
     def forget_incarnation(self, server: str) -> None:
         """Send the next offers without the incarnation of an agent.
--- a/azurewick/gateway/protocols.py
+++ b/azurewick/gateway/protocols.py
@@ -88,6 +88,9 @@
     ) -> str | None:
         """Return the name of the server to try, None when there is none."""
 
+    def expected_cached_tokens(self, offer: Offer, name: str) -> int:
+        """Return the prompt tokens expected in a server's prefix cache."""
+
     def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
         """Note an offer that is about to be sent."""
 
--- a/azurewick/routing/baselines.py
+++ b/azurewick/routing/baselines.py
@@ -47,6 +47,10 @@
         ]
         return self._pick(names) if names else None
 
+    def expected_cached_tokens(self, offer: Offer, name: str) -> int:
+        """Return 0: nothing is known of the caches."""
+        return 0
+
     def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
         """Count an outstanding offer."""
         if name in self._outstanding:
--- a/azurewick/routing/models.py
+++ b/azurewick/routing/models.py
@@ -63,6 +63,9 @@
         version limits the choice to servers of that version.
         """
 
+    def expected_cached_tokens(self, offer: Offer, name: str) -> int:
+        """Return the prompt tokens expected in a server's prefix cache."""
+
     def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
         """Record that an offer was sent to a server."""
 
--- a/demo/load.py
+++ b/demo/load.py
@@ -84,6 +84,11 @@
     random: Random
     records: list[RequestRecord] = field(default_factory=list)
     violations: Counter[str] = field(default_factory=Counter)
+    # Prompt words that no cache could have held: those of each request's
+    # own, and each shared prefix once.
+    needed_words: int = 0
+    _shared_prefixes: set[str] = field(default_factory=set)
+    _keys: set[str] = field(default_factory=set)
     _sent: int = 0
     _tasks: set[asyncio.Task[RequestRecord]] = field(default_factory=set)
 
@@ -169,6 +174,12 @@
         # estimate from bytes fits the engine's count of words.
         common = f"{customer[:2]}{TIERS[request_class]}"
         prompt = [f"{common}{i}" for i in range(shared)]
+        if key not in self._keys:
+            self._keys.add(key)
+            self.needed_words += words - shared
+        if common not in self._shared_prefixes:
+            self._shared_prefixes.add(common)
+            self.needed_words += shared
         own = sha256(key.encode()).hexdigest()
         prompt += [own[i % 60 : i % 60 + 4] for i in range(words - shared)]
         return {
@@ -233,4 +244,4 @@
         error = json.loads(data)["error"]
         return error["code"], error["outcome"]
     except (ValueError, KeyError, TypeError):
-        return "not_an_error_body", ""
+        return f"status {status} of the backend server", ""
--- a/demo/report.py
+++ b/demo/report.py
@@ -25,6 +25,7 @@
     tiers: list[dict[str, Any]] = field(default_factory=list)
     prefill_computed_tokens: int = 0
     prefill_cached_tokens: int = 0
+    prefill_needed_tokens: int = 0
     deposits_sent: int = 0
     deposits_confirmed: int = 0
     deposit_runs: int = 0
@@ -111,10 +112,13 @@
     table.add_column("measure")
     table.add_column("figure", justify="right")
     prompt = figures.prefill_computed_tokens + figures.prefill_cached_tokens
+    excess = figures.prefill_computed_tokens - figures.prefill_needed_tokens
+    wasted = excess / max(1, prompt)
     rows = (
         ("prompt tokens", prompt),
         ("computed in prefill", figures.prefill_computed_tokens),
-        ("taken from the cache", figures.prefill_cached_tokens),
+        ("needed at the least", figures.prefill_needed_tokens),
+        ("wasted prefill", f"{wasted:.1%} of the prompt tokens"),
         ("deposits sent", figures.deposits_sent),
         ("deposits confirmed", figures.deposits_confirmed),
         ("deposit runs", figures.deposit_runs),
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -38,8 +38,8 @@
 # version with too few servers.
 GOOD_SERVERS = 3
 BAD_VERSION = "v3"
-MOVE_TIME_S = 35.0
-MOVE_RATE_PER_S = 200.0
+MOVE_TIME_S = 38.0
+MOVE_RATE_PER_S = 240.0
 BAD_FAILING_SHARE = 0.5
 MOVE_CLASS_CYCLE = (*(CLASS_QUICK,) * 5, CLASS_TAG)
 
@@ -197,6 +197,7 @@
             figures.prefill_cached_tokens += engine.get(
                 "cached_prompt_tokens", 0
             )
+        figures.prefill_needed_tokens = self.callers.needed_words
         figures.engine_runs_twice = _count_repeated_runs(counters)
         runs_by_key: dict[str, int] = {}
         for name in ("booking-1", "booking-2"):
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -243,6 +243,10 @@
             names, key=lambda name: self._outstanding[name], default=None
         )
 
+    def expected_cached_tokens(self, offer: Offer, name: str) -> int:
+        """Return 0: nothing is known of the caches."""
+        return 0
+
     def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
         """Count an offer."""
         self._outstanding[name] += 1
--- a/tests/gateway/test_shedding.py
+++ b/tests/gateway/test_shedding.py
@@ -16,6 +16,7 @@
 from azurewick.gateway.shedding import _RoundState
 from azurewick.gateway.shedding import FloorConfirmer
 from azurewick.gateway.shedding import GrpcFloorClient
+from tests.gateway.builders import async_answer
 from tests.gateway.builders import async_wait_for
 from tests.gateway.builders import create_snapshot
 from tests.gateway.builders import FakeAgent
@@ -192,6 +193,28 @@
         self.assertEqual(("agent-2",), self.rounds[-1])
 
 
+class LateAnswerTest(IsolatedAsyncioTestCase):
+    """Guards against floors that one request past its target would raise."""
+
+    async def test_a_few_requests_are_answered_late_instead_of_shed(self):
+        refuse = refuse_with(ErrorCode.TARGET_UNREACHABLE)
+
+        async def async_answer_late(agent, request):
+            if agent.offers[-1]["budget_s"] is not None:
+                return await refuse(agent, request)
+            return await async_answer(agent, request)
+
+        agent = FakeAgent("agent-1", behaviour=async_answer_late)
+        async with GatewayBench(
+            agent, snapshot=create_snapshot(target={"first_token_s": 5})
+        ) as bench:
+            statuses = [(await bench.async_post())[0] for _ in range(2)]
+            # The budget allows one; the second is shed under the floor.
+            self.assertEqual([200, 503], statuses)
+            self.assertEqual([("agent-1", 0)], bench.floor_client.calls)
+            self.assertEqual(3, len(agent.offers))
+
+
 class AgentControl(AgentControlBase):
     """Agent that sets each floor to a fixed tier."""
 
