Start tests of faults with real processes

The demonstration shows the faults once and prints figures; nothing fails when an invariant breaks in one of them. The tests check each record of the callers against the runs that the backend servers counted. A claim whose write may be lost was reported with outcome unknown, although nothing was offered; it is not_run, and the coordinator releases the claim.

--- a/azurewick/gateway/execution.py
+++ b/azurewick/gateway/execution.py
@@ -97,9 +97,15 @@
         """Run a non-repeatable request under its claim."""
         key = running.context.claim_key
         claims = self._components.claims
-        decision = await claims.async_claim(
-            key, running.context.fingerprint, wall_clock_s()
-        )
+        try:
+            decision = await claims.async_claim(
+                key, running.context.fingerprint, wall_clock_s()
+            )
+        except AzurewickError as err:
+            # Nothing was offered yet, even if the claim may be written; the
+            # coordinator releases such a claim.
+            err.outcome = Outcome.NOT_RUN
+            raise
         if decision.kind is ClaimKind.IN_PROGRESS:
             decision = await claims.async_wait(key, CLAIM_WAIT_S)
         if decision.kind is not ClaimKind.GRANTED:
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 import json
@@ -110,8 +111,11 @@
     backend_urls: dict[str, str] = field(default_factory=dict)
     backends: dict[str, BackendSpec] = field(default_factory=dict)
     gateway_control: list[str] = field(default_factory=list)
+    drain_delay_s: float = 0.0
 
-    async def async_start(self) -> None:
+    async def async_start(
+        self, backends: tuple[BackendSpec, ...] = INITIAL_BACKENDS
+    ) -> None:
         """Start the store, the backend servers, agents and gateways."""
         (port,) = reserve_ports(1)
         self.store_url = f"http://{LOOPBACK}:{port}"
@@ -125,7 +129,7 @@
         await self._async_create("configurations", "fleet")
         ports = reserve_ports(4)
         self.gateway_control = [f"{LOOPBACK}:{p}" for p in ports[2:]]
-        names = await self.async_start_backends(INITIAL_BACKENDS)
+        names = await self.async_start_backends(backends)
         for index, name in enumerate(("gateway-1", "gateway-2")):
             await self._async_start_gateway(name, index, ports[index])
         await self.group.async_wait_ready(
@@ -224,6 +228,7 @@
             "peers": self.gateway_control,
             "order_keys": [ORDER_KEY],
             "sync_interval_s": 0.5,
+            "drain_delay_s": self.drain_delay_s,
             "drain_timeout_s": 12,
         }
 
@@ -237,6 +242,13 @@
             f"http://{settings['address']}/ready",
         )
 
+    async def async_restart_daemon(self, name: str) -> None:
+        """Start an agent or gateway that has ended again and wait for it."""
+        health_url = self.group.processes[name].health_url
+        path = self.directory / f"{name}.json"
+        self.group.start(name, "azurewick.daemon", [str(path)], health_url)
+        await self.group.async_wait_ready(self.session, [name])
+
     async def _async_create(self, plural: str, name: str) -> None:
         body = {"metadata": {"name": name}, "spec": build_configuration()}
         async with self.session.post(
@@ -278,3 +290,12 @@
             )
         )
         return dict(zip(names, counters, strict=True))
+
+    async def async_read_deposit_runs(self) -> Counter[str]:
+        """Return the runs by claim key of all plain services."""
+        runs: Counter[str] = Counter()
+        for name, spec in self.backends.items():
+            if not spec.is_model:
+                url = f"{self.backend_urls[name]}/admin/runs"
+                runs.update((await self.async_read(url))["runs"])
+        return runs
--- a/demo/load.py
+++ b/demo/load.py
@@ -18,6 +18,7 @@
 from azurewick.claims.models import make_claim_key
 from azurewick.const import HEADER_IDEMPOTENCY_KEY
 from azurewick.const import HEADER_REQUEST_CLASS
+from azurewick.const import HEADER_REQUEST_ID
 from azurewick.const import PATH_CHAT_COMPLETIONS
 from azurewick.const import PREFIX_SERVICES
 from azurewick.errors import ErrorCode
@@ -59,6 +60,8 @@
     outcome: str = ""
     is_whole: bool = False
     claim_key: str = ""
+    request_id: str = ""
+    answer: bytes = b""
 
     @property
     def is_good(self) -> bool:
@@ -81,6 +84,9 @@
     session: ClientSession
     gateway_urls: list[str]
     random: Random
+    request_timeout_s: float = REQUEST_TIMEOUT_S
+    # Keeps the idempotency keys of several groups of callers apart.
+    name: str = "key"
     records: list[RequestRecord] = field(default_factory=list)
     violations: Counter[str] = field(default_factory=Counter)
     _sent: int = 0
@@ -108,7 +114,7 @@
         """Send one request in the background, resent after a failure."""
         self._sent += 1
         number = self._sent
-        key = key or f"key-{number}"
+        key = key or f"{self.name}-{number}"
         task = asyncio.create_task(
             self._async_send(request_class, number, key, resends)
         )
@@ -184,6 +190,7 @@
         sent_at_s = monotonic()
         first_token_s: float | None = None
         status = 0
+        request_id = ""
         data = b""
         complete = False
         try:
@@ -191,9 +198,10 @@
                 url,
                 json=body,
                 headers=headers,
-                timeout=ClientTimeout(total=REQUEST_TIMEOUT_S),
+                timeout=ClientTimeout(total=self.request_timeout_s),
             ) as response:
                 status = response.status
+                request_id = response.headers.get(HEADER_REQUEST_ID, "")
                 async for chunk in response.content.iter_any():
                     if first_token_s is None:
                         first_token_s = monotonic() - sent_at_s
@@ -216,6 +224,8 @@
             outcome=outcome,
             is_whole=is_whole,
             claim_key=claim_key,
+            request_id=request_id,
+            answer=data if claim_key else b"",
         )
 
 
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -20,7 +20,7 @@
 from aiohttp import ClientTimeout
 
 LOOPBACK = "127.0.0.1"
-READY_TIMEOUT_S = 20.0
+READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.1
 FIRST_PORT = 12_000
--- a/demo/report.py
+++ b/demo/report.py
@@ -32,6 +32,7 @@
     false_not_run: int = 0
     answers_without_run: int = 0
     engine_runs_twice: int = 0
+    engine_false_not_run: int = 0
     versions_completed: list[str] = field(default_factory=list)
     versions_rolled_back: list[str] = field(default_factory=list)
     bad_version_share: float = 0.0
@@ -76,6 +77,22 @@
     figures.deposit_runs = sum(runs_by_key.values())
 
 
+def check_engine_runs(
+    figures: DemoFigures,
+    records: Iterable[RequestRecord],
+    counters: Iterable[dict[str, Any]],
+) -> None:
+    """Compare the runs by request id with the refusals of callers."""
+    runs: Counter[str] = Counter()
+    for engine in counters:
+        runs.update(engine["runs"])
+    figures.engine_runs_twice = sum(count > 1 for count in runs.values())
+    figures.engine_false_not_run = sum(
+        record.outcome == Outcome.NOT_RUN and record.request_id in runs
+        for record in records
+    )
+
+
 def collect_violations(figures: DemoFigures, callers: Callers) -> None:
     """Record each broken invariant with its number of cases."""
     found = Counter(callers.violations)
@@ -85,6 +102,9 @@
         figures.answers_without_run
     )
     found["request dispatched twice"] += figures.engine_runs_twice
+    found["refusal not_run of a request that ran"] += (
+        figures.engine_false_not_run
+    )
     found["bad version got more than its share"] += (
         figures.bad_version_share > 0.05
     )
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -25,6 +25,7 @@
 from demo.moves import async_request_move
 from demo.moves import FINAL_STATES
 from demo.report import check_deposits
+from demo.report import check_engine_runs
 from demo.report import collect_violations
 from demo.report import count_tiers
 from demo.report import DemoFigures
@@ -197,20 +198,7 @@
             figures.prefill_cached_tokens += engine.get(
                 "cached_prompt_tokens", 0
             )
-        figures.engine_runs_twice = _count_repeated_runs(counters)
-        runs_by_key: dict[str, int] = {}
-        for name in ("booking-1", "booking-2"):
-            url = self.fleet.backend_urls[name]
-            runs = await self.fleet.async_read(f"{url}/admin/runs")
-            for key, count in runs["runs"].items():
-                runs_by_key[key] = runs_by_key.get(key, 0) + count
+        check_engine_runs(figures, records, counters.values())
+        runs_by_key = await self.fleet.async_read_deposit_runs()
         check_deposits(figures, records, runs_by_key)
         collect_violations(figures, self.callers)
-
-
-def _count_repeated_runs(counters: dict[str, dict[str, Any]]) -> int:
-    runs: dict[str, int] = {}
-    for engine in counters.values():
-        for request_id, count in engine["runs"].items():
-            runs[request_id] = runs.get(request_id, 0) + count
-    return sum(count > 1 for count in runs.values())
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes and faults."""
--- /dev/null
+++ b/tests/processes/test_faults.py
@@ -0,0 +1,172 @@
+"""Faults of a running fleet: at most one run and true refusals."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
+from demo.fleet import CLASS_DEPOSIT
+from demo.fleet import CLASS_DRAFT
+from demo.fleet import CLASS_QUICK
+from demo.fleet import CLASS_TAG
+from demo.load import CLASS_CYCLE
+from tests.processes.builders import booking
+from tests.processes.builders import FleetTestCase
+from tests.processes.builders import model
+
+RESENDS = 10
+RATE_PER_S = 20.0
+# Slow enough that a fault meets a running deposit on a busy machine.
+DEPOSIT_DELAY_S = 1.5
+IMPATIENT_S = 0.5
+FREEZE_RESENDS = 4
+
+
+class FaultTest(FleetTestCase):
+    """Guards against a fault that runs a request twice or stops traffic."""
+
+    async def test_reconnect_burst(self):
+        # Two callers with the same key stand for a request and its resend;
+        # consecutive requests go to different gateways.
+        for index in range(45):
+            request_class = (CLASS_QUICK, CLASS_DEPOSIT, CLASS_TAG)[index % 3]
+            for _ in range(2):
+                self.callers.send(
+                    request_class, key=f"burst-{index}", resends=RESENDS
+                )
+        await self.callers.async_drain()
+        figures = await self.async_check_runs()
+        self.assertEqual(15, figures.deposits_sent)
+        self.assertEqual(15, figures.deposits_confirmed)
+        answers: dict[str, set[bytes]] = {}
+        for record in self.callers.records:
+            if record.claim_key and record.is_whole:
+                answers.setdefault(record.claim_key, set()).add(record.answer)
+        self.assertTrue(all(len(item) == 1 for item in answers.values()))
+
+    async def test_agent_killed_under_load(self):
+        specs = (model("engine-killed"), booking("booking-killed"))
+        names = await self.fleet.async_start_backends(specs)
+        await self.group.async_wait_ready(self.fleet.session, names)
+        await self.async_wait_for_servers([spec.name for spec in specs])
+        await self._async_delay_deposits("booking-killed")
+        killed = {f"{spec.name}-agent" for spec in specs}
+        sending = self._start_load()
+        try:
+            await self._async_wait_for_running_deposit("booking-killed")
+            for name in killed:
+                self.group.processes[name].send_signal(signal.SIGKILL)
+            await self._async_check_traffic()
+        finally:
+            sending.cancel()
+        await self.callers.async_drain()
+        outcomes = {record.outcome for record in self.callers.records}
+        self.assertIn(Outcome.UNKNOWN, outcomes)
+        await self.async_check_runs()
+
+    async def test_gateway_frozen_and_resumed(self):
+        names = ("booking-1", "booking-2")
+        await self._async_delay_deposits(*names)
+        process = self.group.processes["gateway-2"]
+        frozen_url = self.fleet.gateway_urls["gateway-2"]
+        # Each deposit goes to gateway-2 first and is resent to gateway-1.
+        self.callers.gateway_urls = [
+            frozen_url,
+            self.fleet.gateway_urls["gateway-1"],
+        ]
+        self.callers.request_timeout_s = IMPATIENT_S
+        for index in range(10):
+            self.callers.send(
+                CLASS_DEPOSIT, key=f"frozen-{index}", resends=FREEZE_RESENDS
+            )
+        try:
+            await self._async_wait_for_running_deposit(*names)
+            process.send_signal(signal.SIGSTOP)
+            await self.callers.async_drain()
+        finally:
+            process.send_signal(signal.SIGCONT)
+        await self._async_delay_deposits(*names, delay_s=0.0)
+        self.callers.request_timeout_s = 20.0
+        # The same keys once more, after the frozen gateway has resumed.
+        for index in range(10):
+            self.callers.send(
+                CLASS_DEPOSIT, key=f"frozen-{index}", resends=RESENDS
+            )
+        await self.callers.async_drain()
+        for record in self.find_last_by_key().values():
+            self.assertTrue(
+                record.is_whole or record.outcome == Outcome.UNKNOWN, record
+            )
+        await self._async_check_traffic()
+        await self.async_check_runs()
+
+    async def test_store_outage(self):
+        await self.fleet.async_set_faults(
+            self.fleet.store_url, outage="unavailable"
+        )
+        try:
+            deposits = [
+                self.callers.send(CLASS_DEPOSIT, key=f"outage-{index}")
+                for index in range(10)
+            ]
+            others = [
+                self.callers.send(request_class, resends=RESENDS)
+                for request_class in (CLASS_QUICK, CLASS_TAG, CLASS_DRAFT) * 5
+            ]
+            refused = await asyncio.gather(*deposits)
+            served = await asyncio.gather(*others)
+        finally:
+            await self.fleet.async_set_faults(
+                self.fleet.store_url, outage="none"
+            )
+        for record in refused:
+            self.assertEqual(
+                (ErrorCode.STORE_UNAVAILABLE, Outcome.NOT_RUN),
+                (record.code, record.outcome),
+            )
+        self.assertTrue(all(record.is_whole for record in served))
+        runs = await self.fleet.async_read_deposit_runs()
+        self.assertFalse([r for r in refused if runs[r.claim_key]])
+        again = [
+            self.callers.send(
+                CLASS_DEPOSIT, key=f"outage-{index}", resends=RESENDS
+            )
+            for index in range(10)
+        ]
+        for record in await asyncio.gather(*again):
+            self.assertTrue(record.is_whole, record)
+        await self.async_check_runs()
+
+    def _start_load(self) -> asyncio.Task[None]:
+        return asyncio.create_task(
+            self.callers.async_send_for(60.0, RATE_PER_S, resends=2)
+        )
+
+    async def _async_delay_deposits(
+        self, *names: str, delay_s: float = DEPOSIT_DELAY_S
+    ) -> None:
+        for name in names:
+            await self.fleet.async_set_faults(
+                self.fleet.backend_urls[name], delay_s=delay_s
+            )
+
+    async def _async_wait_for_running_deposit(self, *names: str) -> None:
+        async def async_is_running() -> bool:
+            for name in names:
+                calls, runs = await self.async_read_calls(name)
+                if calls > runs:
+                    return True
+            return False
+
+        await self.async_wait_for(async_is_running, "a running deposit")
+
+    async def _async_check_traffic(self) -> None:
+        """Check that both gateways serve each class."""
+        tasks = [
+            self.callers.send(request_class, resends=RESENDS)
+            for request_class in CLASS_CYCLE * 4
+        ]
+        for record in await asyncio.gather(*tasks):
+            self.assertTrue(record.is_whole, record)
--- /dev/null
+++ b/tests/processes/test_version_moves.py
@@ -0,0 +1,78 @@
+"""Version moves of a running fleet."""
+
+from __future__ import annotations
+
+import asyncio
+from time import time
+
+from demo.fleet import CLASS_QUICK
+from demo.fleet import CLASS_TAG
+from demo.moves import async_read_state
+from demo.moves import async_request_move
+from demo.moves import FINAL_STATES
+from tests.processes.builders import FleetTestCase
+from tests.processes.builders import model
+
+GOOD_VERSION = "v2"
+BAD_VERSION = "v3"
+# A move ends about when it was asked for; it may end later on a busy machine.
+MOVE_TIME_S = 30.0
+GUARD_S = 150.0
+RATE_PER_S = 120.0
+CLASSES = (*(CLASS_QUICK,) * 5, CLASS_TAG)
+MAX_BAD_SHARE = 0.05
+
+
+class VersionMoveTest(FleetTestCase):
+    """Guards against a good version that stays out and a bad one in."""
+
+    backends = (
+        model("engine-1"),
+        model("engine-2", domain=1),
+        model("engine-v2-1", version=GOOD_VERSION),
+        model("engine-v2-2", version=GOOD_VERSION, domain=1),
+        model("engine-v3", version=BAD_VERSION),
+    )
+
+    async def test_good_one_completes_and_bad_one_is_rolled_back(self):
+        await self.fleet.async_set_faults(
+            self.fleet.backend_urls["engine-v3"], failing_share=0.5
+        )
+        moves = {CLASS_QUICK: GOOD_VERSION, CLASS_TAG: BAD_VERSION}
+        by_time_s = time() + MOVE_TIME_S
+        for request_class, version in moves.items():
+            await async_request_move(
+                self.fleet, request_class, version, by_time_s
+            )
+        sending = asyncio.create_task(
+            self.callers.async_send_for(GUARD_S, RATE_PER_S, CLASSES)
+        )
+        try:
+            states = await self._async_wait_for_moves(moves)
+        finally:
+            sending.cancel()
+        await self.callers.async_drain()
+        self.assertEqual(
+            {GOOD_VERSION: "done", BAD_VERSION: "rolled_back"}, states
+        )
+        counters = (await self.fleet.async_read_counters())["engine-v3"]
+        exposed = counters.get("started", 0)
+        exposed += counters.get("failed_on_purpose", 0)
+        sent = sum(
+            r.request_class == CLASS_TAG for r in self.callers.records
+        )
+        self.assertLessEqual(exposed, MAX_BAD_SHARE * sent)
+        await self.async_check_runs()
+
+    async def _async_wait_for_moves(
+        self, moves: dict[str, str]
+    ) -> dict[str, str]:
+        async with asyncio.timeout(GUARD_S):
+            while True:
+                states = {
+                    version: await async_read_state(self.fleet, name)
+                    for name, version in moves.items()
+                }
+                if all(state in FINAL_STATES for state in states.values()):
+                    return states
+                await asyncio.sleep(0.5)
