Count version evidence by the model of a chat request

All chat requests share one path, so a version that fails for one model only was assessed over all models together. The body's model is now the route. A name that is long or can't be encoded as UTF-8 counts as the path.

--- a/azurewick/gateway/context.py
+++ b/azurewick/gateway/context.py
@@ -43,6 +43,8 @@
     content_type: str = "application/json"
     body: bytes = b""
     idempotency_key: str = ""
+    # Model that a chat request names; empty for other requests.
+    model: str = ""
     fingerprint: str = ""
     accept_body: Callable[[], Awaitable[None]] | None = None
     prefix_hashes: tuple[str, ...] | None = None
--- a/azurewick/gateway/filters/limits.py
+++ b/azurewick/gateway/filters/limits.py
@@ -4,6 +4,7 @@
 
 from asyncio import timeout
 import json
+from typing import Any
 
 from aiohttp import ClientError
 from aiohttp.web import RequestPayloadError
@@ -22,6 +23,7 @@
 MAX_PATH_BYTES = 2048
 MAX_CONTENT_TYPE_BYTES = 256
 MAX_IDEMPOTENCY_KEY_BYTES = 255
+MAX_MODEL_BYTES = 128
 # 1 MiB in 30 s needs 35 KB/s, which slow mobile links reach.
 BODY_TIMEOUT_S = 30.0
 
@@ -98,7 +100,7 @@
                 ErrorCode.INVALID_REQUEST, "body is malformed"
             ) from err
         if context.path == PATH_CHAT_COMPLETIONS:
-            _check_json_object(context.body)
+            context.model = _read_model(_parse_json_object(context.body))
 
     async def _async_read(self, context: RequestContext) -> bytes:
         if context.payload is None:
@@ -121,10 +123,23 @@
         )
 
 
-def _check_json_object(body: bytes) -> None:
+def _parse_json_object(body: bytes) -> dict[str, Any]:
     try:
         document = json.loads(body)
     except (ValueError, RecursionError) as err:
         raise refuse(ErrorCode.INVALID_REQUEST, "body is not JSON") from err
     if not isinstance(document, dict):
         raise refuse(ErrorCode.INVALID_REQUEST, "body is not a JSON object")
+    return document
+
+
+def _read_model(document: dict[str, Any]) -> str:
+    """Return the model's name, or an empty text when it has no usable one.
+
+    The name travels between gateways as the route of version evidence. Text
+    such as a lone surrogate from a JSON escape can't be encoded there.
+    """
+    model = document.get("model")
+    if not isinstance(model, str) or len(model) > MAX_MODEL_BYTES:
+        return ""
+    return model if model.isascii() and model.isprintable() else ""
--- a/azurewick/gateway/offer_run.py
+++ b/azurewick/gateway/offer_run.py
@@ -269,7 +269,13 @@
             cached_tokens=usage.cached_tokens,
             output_tokens=usage.output_tokens,
         )
-        self._pool.record_result(self._offer, self._server, result, now_s)
+        self._pool.record_result(
+            self._offer,
+            self._server,
+            result,
+            now_s,
+            route=self._running.context.model,
+        )
         if status is OfferStatus.FINISHED:
             self._components.metrics.observe_answer(
                 self._running.context, self._meter
--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -265,8 +265,14 @@
         server: BackendServer,
         result: OfferResult,
         now_s: float,
+        *,
+        route: str = "",
     ) -> None:
-        """Tell the router, the rollouts and the predictor of a result."""
+        """Tell the router, the rollouts and the predictor of a result.
+
+        route is the model of a chat request, which may fail alone; all chat
+        requests have one path.
+        """
         self.router.record_result(offer, server.name, result, now_s)
         self._components.versions.record_result(
             offer,
@@ -274,6 +280,7 @@
             result,
             now_s,
             backend_server=server.name,
+            route=route,
         )
         if result.status is OfferStatus.FINISHED and result.output_tokens:
             self._components.predictor.record(
--- a/azurewick/gateway/protocols.py
+++ b/azurewick/gateway/protocols.py
@@ -185,6 +185,7 @@
         now_s: float,
         *,
         backend_server: str = "",
+        route: str = "",
     ) -> None:
         """Note how an offer to a version ended."""
 
--- a/azurewick/gateway/wiring.py
+++ b/azurewick/gateway/wiring.py
@@ -226,6 +226,7 @@
         now_s: float,
         *,
         backend_server: str = "",
+        route: str = "",
     ) -> None:
         """Ignore a result."""
 
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -33,6 +33,7 @@
 from azurewick.gateway.application import Gateway
 from azurewick.gateway.shedding import FloorConfirmer
 from azurewick.gateway.wiring import AllAgentsRound
+from azurewick.gateway.wiring import AnyVersion
 from azurewick.gateway.wiring import build_components
 from azurewick.gateway.wiring import UnknownCluster
 from azurewick.models import BackendServer
@@ -265,6 +266,7 @@
         *agents: FakeAgent,
         snapshot: ConfigurationSnapshot | None = None,
         answer_timeout_s: float = 30.0,
+        versions: Any = None,
         **settings: Any,
     ) -> None:
         self.agents = agents
@@ -275,6 +277,7 @@
             build_components(create_settings(**settings)),
             cluster=self.cluster,
             claims=self.claims,
+            versions=versions or AnyVersion(),
             agents=AgentClient(answer_timeout_s),
             floor=FloorConfirmer(
                 self.cluster, self.floor_client, AllAgentsRound
