Test the command-line tool and mend what failed

status printed two JSON lists instead of one document; a table in a pipe was cut to 80 columns; version move wrote versions that can't be read back, after which 'version status' failed; --by nan and 1e30 were accepted.

--- a/azurewick/cli/context.py
+++ b/azurewick/cli/context.py
@@ -30,6 +30,8 @@
 
 Row = dict[str, Any]
 
+PIPE_COLUMNS = 1000
+
 
 class OutputFormat(StrEnum):
     """Form of the output."""
@@ -69,14 +71,16 @@
         """Print rows as a table or as a JSON list."""
         if self.output is OutputFormat.JSON:
             typer.echo(json.dumps(rows, indent=2))
+        else:
+            _print_table(title, rows)
+
+    def print_groups(self, groups: dict[str, list[Row]]) -> None:
+        """Print groups of rows as tables or as one JSON object."""
+        if self.output is OutputFormat.JSON:
+            typer.echo(json.dumps(groups, indent=2))
             return
-        table = Table(title=title)
-        columns = list(dict.fromkeys(key for row in rows for key in row))
-        for column in columns:
-            table.add_column(column)
-        for row in rows:
-            table.add_row(*(_format_cell(row.get(c)) for c in columns))
-        Console(soft_wrap=True).print(table)
+        for name, rows in groups.items():
+            _print_table(name.replace("_", " ").capitalize(), rows)
 
     def print_message(self, message: str, **fields: Any) -> None:
         """Print one line, or its fields as JSON."""
@@ -90,6 +94,21 @@
         print(message, file=sys.stderr, flush=True)
 
 
+def _print_table(title: str, rows: list[Row]) -> None:
+    table = Table(title=title)
+    columns = list(dict.fromkeys(key for row in rows for key in row))
+    for column in columns:
+        table.add_column(column)
+    for row in rows:
+        table.add_row(*(_format_cell(row.get(c)) for c in columns))
+    # Without a terminal rich assumes 80 columns and cuts names off, which a
+    # script would then read.
+    console = Console(soft_wrap=True)
+    if not console.is_terminal:
+        console.width = PIPE_COLUMNS
+    console.print(table)
+
+
 def _format_cell(value: Any) -> str:
     if value is None:
         return "-"
--- a/azurewick/cli/status.py
+++ b/azurewick/cli/status.py
@@ -54,8 +54,9 @@
         for pool, described in status["pools"].items():
             for server in described["servers"]:
                 servers.setdefault(server["name"], _describe(pool, server))
-    command.print_rows("Gateways", gateways)
-    command.print_rows("Backend servers", list(servers.values()))
+    command.print_groups(
+        {"gateways": gateways, "backend_servers": list(servers.values())}
+    )
     if all(status is None for status in answers):
         raise AzurewickError(
             ErrorCode.PEER_UNREACHABLE,
--- a/azurewick/cli/version.py
+++ b/azurewick/cli/version.py
@@ -42,12 +42,8 @@
     Raises AzurewickError with code invalid_request.
     """
     try:
-        return float(text)
-    except ValueError:
-        pass
-    try:
-        return datetime.fromisoformat(text).astimezone().timestamp()
-    except ValueError as err:
+        return _read_time(text).astimezone().timestamp()
+    except (ValueError, OverflowError, OSError) as err:
         raise AzurewickError(
             ErrorCode.INVALID_REQUEST,
             f"--by {text!r} is no time; write 2026-12-04T18:30:00+00:00 or"
@@ -56,6 +52,15 @@
         ) from err
 
 
+def _read_time(text: str) -> datetime:
+    try:
+        seconds = float(text)
+    except ValueError:
+        return datetime.fromisoformat(text)
+    # Refuses numbers that are no time, such as nan and 1e30.
+    return datetime.fromtimestamp(seconds)
+
+
 @app.command("move")
 def move_version(
     context: typer.Context,
@@ -97,6 +102,8 @@
         by_time_s=by_time_s,
         requested_by=getuser(),
     )
+    # An object that can't be read back would break 'version status'.
+    parse_move({"spec": move.as_spec()})
     async with command.async_open_store() as store:
         configured = await _async_read_class_version(store, request_class)
         move = replace(move, previous_version=configured)
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -94,9 +94,7 @@
         self.callers.request_timeout_s = CLAIM_PATIENCE_S
         # The same keys once more, after the frozen gateway has resumed.
         for index in range(10):
-            self.callers.send(
-                CLASS_DEPOSIT, key=f"frozen-{index}", resends=1
-            )
+            self.callers.send(CLASS_DEPOSIT, key=f"frozen-{index}", resends=1)
         await self.callers.async_drain()
         await self._async_check_traffic()
         await self.async_check_runs()
--- a/tests/processes/test_version_moves.py
+++ b/tests/processes/test_version_moves.py
@@ -65,9 +65,7 @@
         counters = (await self.fleet.async_read_counters())["engine-v3"]
         exposed = counters.get("started", 0)
         exposed += counters.get("failed_on_purpose", 0)
-        sent = sum(
-            r.request_class == BAD_CLASS for r in self.callers.records
-        )
+        sent = sum(r.request_class == BAD_CLASS for r in self.callers.records)
         self.assertLessEqual(exposed, MAX_BAD_SHARE * sent)
         await self.async_check_runs()
 
