--- /dev/null
+++ b/tests/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the pages for operators."""
--- a/tests/processes/builders.py
+++ b/tests/processes/builders.py
@@ -86,12 +86,11 @@
     async def async_wait_for(
         self, async_condition: Callable[[], Awaitable[object]], what: str
     ) -> None:
-        try:
-            async with asyncio.timeout(GUARD_S):
-                while not await async_condition():
-                    await asyncio.sleep(POLL_INTERVAL_S)
-        except TimeoutError:
-            self.fail(f"not seen: {what}")
+        for _ in range(int(GUARD_S / POLL_INTERVAL_S)):
+            if await async_condition():
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+        self.fail(f"not seen: {what}")
 
     async def async_read_servers(self, gateway: str) -> set[str]:
         """Return the names of the agents that a gateway uses."""
