--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -39,6 +39,7 @@
 from tests.gateway.doubles import FakeFloorClient
 from tests.gateway.doubles import MemoryClaims
 from tests.gateway.stubs import AllAgentsRound
+from tests.gateway.stubs import AnyVersion
 from tests.gateway.stubs import build_components
 from tests.gateway.stubs import UnknownCluster
 
@@ -265,6 +266,7 @@
         *agents: FakeAgent,
         snapshot: ConfigurationSnapshot | None = None,
         answer_timeout_s: float = 30.0,
+        versions: Any = None,
         **settings: Any,
     ) -> None:
         self.agents = agents
@@ -275,6 +277,7 @@
             build_components(create_settings(**settings)),
             cluster=self.cluster,
             claims=self.claims,
+            versions=versions or AnyVersion(),
             agents=AgentClient(answer_timeout_s),
             floor=FloorConfirmer(
                 self.cluster, self.floor_client, AllAgentsRound
