Measure the control part against the size of the fleet

Capacity figures were missing. The cluster state of all processes runs in one loop in virtual time, and each step is charged to its process.

--- /dev/null
+++ b/bench/capacity_fit.py
@@ -0,0 +1,189 @@
+"""Linear fits and processor time of the capacity benchmark."""
+
+from __future__ import annotations
+
+from asyncio import AbstractEventLoop
+from asyncio import Task
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Generator
+from collections.abc import Sequence
+from contextvars import Context
+from contextvars import ContextVar
+from dataclasses import dataclass
+from time import process_time
+from time import process_time_ns
+from types import coroutine
+from typing import Any
+from typing import TypeVar
+
+from bench.models import BenchRow
+
+ResultT = TypeVar("ResultT")
+
+OWNER: ContextVar[str] = ContextVar("owner", default="")
+REPEATS = 3
+MICROSECONDS = 1e6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fit:
+    """Least-squares line through measured sizes.
+
+    residual is the largest distance of a point from the line, as a part of
+    the largest figure. A large one says that the figure is not linear.
+    """
+
+    intercept: float
+    slope: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the figure of the line at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit_line(points: Sequence[tuple[float, float]]) -> Fit:
+    """Return the line through (size, figure) points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    line = Fit(intercept=mean_y - slope * mean_x, slope=slope, residual=0.0)
+    largest = max(abs(y) for _, y in points) or 1.0
+    return Fit(
+        intercept=line.intercept,
+        slope=slope,
+        residual=max(abs(y - line.at(x)) for x, y in points) / largest,
+    )
+
+
+def build_row(
+    name: str,
+    seed: int,
+    figure: float,
+    unit: str,
+    bound: float | None = None,
+    baseline: dict[str, float] | None = None,
+) -> BenchRow:
+    """Return a row of the area; a bound is the most allowed."""
+    return BenchRow(
+        name=f"capacity.{name}",
+        seed=seed,
+        figure=figure,
+        unit=unit,
+        bound=bound,
+        baseline=baseline or {},
+        ok=bound is None or figure <= bound,
+    )
+
+
+def build_series(
+    name: str,
+    seed: int,
+    points: Sequence[tuple[float, float]],
+    unit: str,
+    bound: float | None = None,
+) -> list[BenchRow]:
+    """Return a row for each size; the last has the bound and the fit."""
+    line = fit_line(points)
+    last = len(points) - 1
+    fit = {
+        "slope": line.slope,
+        "intercept": line.intercept,
+        "residual": line.residual,
+    }
+    return [
+        build_row(
+            f"{name}.{size:g}",
+            seed,
+            figure,
+            unit,
+            bound if index == last else None,
+            fit if index == last else None,
+        )
+        for index, (size, figure) in enumerate(points)
+    ]
+
+
+def measure_us(action: Callable[[], object], count: int) -> float:
+    """Return the processor time of one action in microseconds.
+
+    The action runs count times, in several rounds; the least round counts,
+    because other work on the machine only adds to it.
+    """
+    best_s = float("inf")
+    for _ in range(REPEATS):
+        started_s = process_time()
+        for _ in range(count):
+            action()
+        best_s = min(best_s, process_time() - started_s)
+    return best_s / count * MICROSECONDS
+
+
+class ProcessorMeter:
+    """Attributes the processor time of one event loop to owners.
+
+    Each task takes its owner from the context variable OWNER. The cost of
+    the meter itself, about a microsecond a step, counts as the owner's.
+    """
+
+    def __init__(self, loop: AbstractEventLoop) -> None:
+        self.spent_ns: Counter[str] = Counter()
+        self._owner = ""
+        self._since_ns = process_time_ns()
+        loop.set_task_factory(self._create_task)
+
+    def switch(self, owner: str) -> str:
+        """Charge the time from now on to an owner; return the last one."""
+        now_ns = process_time_ns()
+        self.spent_ns[self._owner] += now_ns - self._since_ns
+        self._since_ns = now_ns
+        before, self._owner = self._owner, owner
+        return before
+
+    def reset(self) -> None:
+        """Forget what was spent until now."""
+        self.switch(self._owner)
+        self.spent_ns.clear()
+
+    async def async_run(
+        self, owner: str, work: Coroutine[Any, Any, ResultT]
+    ) -> ResultT:
+        """Run a coroutine on account of an owner."""
+        result: ResultT = await self._charge(owner, work)
+        return result
+
+    @coroutine
+    def _charge(
+        self, owner: str, work: Coroutine[Any, Any, Any]
+    ) -> Generator[Any, Any, Any]:
+        resume: Callable[[], Any] = lambda: work.send(None)  # noqa: E731
+        while True:
+            before = self.switch(owner)
+            try:
+                waiting = resume()
+            except StopIteration as stop:
+                return stop.value
+            finally:
+                self.switch(before)
+            try:
+                value = yield waiting
+            except BaseException as err:
+                error = err
+                resume = lambda: work.throw(error)  # noqa: E731
+            else:
+                resume = lambda: work.send(value)  # noqa: E731
+
+    def _create_task(
+        self,
+        loop: AbstractEventLoop,
+        work: Coroutine[Any, Any, Any],
+        context: Context | None = None,
+    ) -> Task[Any]:
+        owner = OWNER.get()
+        if owner:
+            work = self.async_run(owner, work)
+        return Task(work, loop=loop, context=context)
