Measure the data path, decisions, memory and real control processes

The model of the control part leaves out the rollout service and the metrics, so real gateways with the entries of a whole fleet run as well.

--- a/bench/capacity_process.py
+++ b/bench/capacity_process.py
@@ -1,16 +1,20 @@
 """Processes that the capacity benchmark starts.
 
-Usage: python -m bench.capacity_process sync-server | gateway-off FILE
-| agent-off FILE. The last two run a daemon with its control part off: the
-configuration and the servers come from the file and nothing is exchanged.
+Usage: python -m bench.capacity_process sync-server, or MODE FILE with a mode
+of MODES. With the control part off, the configuration and the servers come
+from the file and nothing is exchanged. gateway-loaded also takes as many
+load reports as a gateway gets with its answers at peak load, and source has
+the loads and evidence of a whole fleet.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 import json
 from pathlib import Path
+from random import Random
 import sys
 from typing import Any
 from unittest.mock import patch
@@ -22,18 +26,26 @@
 from azurewick.agent import application as agent_application
 from azurewick.agent.cluster_link import ClusterLink
 from azurewick.configuration.snapshot import build_snapshot
+from azurewick.const import SYNC_INTERVAL_S
 from azurewick.control import control_pb2 as pb
 from azurewick.control.channels import open_listener
 from azurewick.control.control_grpc import ControlBase
 from azurewick.gateway.application import run_components
 from azurewick.gateway.composition import build_gateway
+from azurewick.gateway.pool import PoolState
+from azurewick.gateway.wiring import GatewayComponents
 from azurewick.gateway.wiring import UnknownCluster
+from azurewick.helpers.clock import monotonic_s
 from azurewick.membership.view import MembershipView
 from azurewick.membership.view import parse_instances
 from azurewick.models import BackendServer
 from azurewick.settings.loader import parse_settings
-from azurewick.settings.models import AgentSettings
-from azurewick.settings.models import GatewaySettings
+from bench.capacity_memory import build_evidence
+from bench.capacity_memory import build_loads
+
+
+# 7,800 answers a second over 330 gateways.
+REPORTS_PER_S = 7800 / 330
 
 
 class FixedCluster(UnknownCluster):
@@ -92,10 +104,86 @@
     sys.stdout.flush()
 
 
-def _run_gateway(path: Path) -> int:
+class PeakReports:
+    """Service that takes load reports as the answers at peak load do."""
+
+    def __init__(self, components: GatewayComponents, agents: int) -> None:
+        self._components = components
+        self._agents = agents
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Start to take reports."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_stop(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _async_run(self) -> None:
+        cluster = self._components.cluster
+        while not cluster.is_ready or not cluster.snapshot:
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(1.0)
+        pools = [PoolState(one, self._components) for one in
+                 cluster.snapshot.pools]
+        for pool in pools:
+            pool.refresh(monotonic_s())
+        random = Random(1)
+        reports = build_loads(self._agents).loads
+        while True:
+            await asyncio.sleep(random.expovariate(REPORTS_PER_S))
+            report = replace(
+                random.choice(reports), running=random.randrange(64)
+            )
+            cluster.record_load(report, monotonic_s())
+
+
+class FleetEntries:
+    """Service that changes the loads and evidence of the whole fleet."""
+
+    def __init__(
+        self, components: GatewayComponents, gateways: int, agents: int
+    ) -> None:
+        self._cluster: Any = components.cluster
+        self._evidence = build_evidence(gateways).evidence
+        self._loads = build_loads(agents).loads
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Start to change entries."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_stop(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _async_run(self) -> None:
+        random = Random(2)
+        while True:
+            now_s = monotonic_s()
+            for load in self._loads:
+                running = random.randrange(64)
+                self._cluster.record_load(
+                    replace(load, running=running), now_s
+                )
+            self._evidence = tuple(
+                replace(one, requests=one.requests + random.randrange(60))
+                for one in self._evidence
+            )
+            self._cluster.record_evidence(self._evidence, now_s)
+            await asyncio.sleep(SYNC_INTERVAL_S)
+
+
+def _load(path: Path) -> tuple[dict[str, Any], Any]:
     content = json.loads(path.read_text(encoding="utf-8"))
-    settings = parse_settings(json.dumps(content["settings"]))
-    assert isinstance(settings, GatewaySettings)
+    return content, parse_settings(json.dumps(content["settings"]))
+
+
+def _run_gateway_off(path: Path) -> int:
+    content, settings = _load(path)
     components = build_gateway(settings)
     components.cluster = FixedCluster(content)
     # The rollout service belongs to the control part.
@@ -103,12 +191,35 @@
     return run_components(components)
 
 
-def _run_agent(path: Path) -> int:
-    content = json.loads(path.read_text(encoding="utf-8"))
-    settings = parse_settings(json.dumps(content["settings"]))
-    assert isinstance(settings, AgentSettings)
+def _run_gateway_loaded(path: Path) -> int:
+    content, settings = _load(path)
+    components = build_gateway(settings)
+    components.services += (PeakReports(components, content["agents"]),)
+    return run_components(components)
+
+
+def _run_source(path: Path) -> int:
+    content, settings = _load(path)
+    components = build_gateway(settings)
+    components.services += (
+        FleetEntries(components, content["gateways"], content["agents"]),
+    )
+    return run_components(components)
+
+
+def _run_agent_off(path: Path) -> int:
     with patch.object(agent_application, "ClusterLink", IdleLink):
-        return agent_application.run_agent(settings)
+        return agent_application.run_agent(_load(path)[1])
+
+
+MODES: dict[str, Callable[[Path], int]] = {
+    "gateway-on": lambda path: run_components(build_gateway(_load(path)[1])),
+    "gateway-off": _run_gateway_off,
+    "gateway-loaded": _run_gateway_loaded,
+    "source": _run_source,
+    "agent-on": lambda path: agent_application.run_agent(_load(path)[1]),
+    "agent-off": _run_agent_off,
+}
 
 
 def main(arguments: list[str]) -> int:
@@ -118,8 +229,7 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(_async_serve(_announce))
         return 0
-    run = _run_gateway if arguments[0] == "gateway-off" else _run_agent
-    return run(Path(arguments[1]))
+    return MODES[arguments[0]](Path(arguments[1]))
 
 
 if __name__ == "__main__":
