--- /dev/null
+++ b/bench/capacity_process.py
@@ -0,0 +1,239 @@
+"""Processes that the capacity benchmark starts.
+
+Usage: python -m bench.capacity_process sync-server, or MODE FILE with a mode
+of MODES. With the control part off, the configuration and the servers come
+from the file and nothing is exchanged. gateway-loaded also takes as many
+load reports as a gateway gets with its answers at peak load, and source has
+the loads and evidence of a whole fleet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+import json
+from pathlib import Path
+from random import Random
+import sys
+from typing import Any
+from unittest.mock import patch
+
+from grpclib.server import Server
+from grpclib.server import Stream
+import uvloop
+
+from azurewick.agent import application as agent_application
+from azurewick.agent.cluster_link import ClusterLink
+from azurewick.configuration.snapshot import build_snapshot
+from azurewick.const import SYNC_INTERVAL_S
+from azurewick.control import control_pb2 as pb
+from azurewick.control.channels import open_listener
+from azurewick.control.control_grpc import ControlBase
+from azurewick.gateway.application import run_components
+from azurewick.gateway.composition import build_gateway
+from azurewick.gateway.pool import PoolState
+from azurewick.gateway.wiring import GatewayComponents
+from azurewick.gateway.wiring import UnknownCluster
+from azurewick.helpers.clock import monotonic_s
+from azurewick.membership.view import MembershipView
+from azurewick.membership.view import parse_instances
+from azurewick.models import BackendServer
+from azurewick.settings.loader import parse_settings
+from bench.capacity_memory import build_evidence
+from bench.capacity_memory import build_loads
+
+# 7,800 answers a second over 330 gateways.
+REPORTS_PER_S = 7800 / 330
+
+
+class FixedCluster(UnknownCluster):
+    """Cluster state from a file; it exchanges nothing."""
+
+    is_ready = True
+    incarnation = "fixed"
+
+    def __init__(self, content: dict[str, Any]) -> None:
+        self.snapshot = build_snapshot(content["configuration"], 1)
+        self._view = MembershipView()
+        self._view.update_list(parse_instances(content["instances"]), 1, 0.0)
+
+    def backend_servers(
+        self, pool: str, now_s: float
+    ) -> tuple[BackendServer, ...]:
+        """Return the servers of the file."""
+        return self._view.backend_servers(pool)
+
+
+class EchoSync(ControlBase):
+    """Sync that returns as many bytes as it gets."""
+
+    async def Sync(  # noqa: N802 - name of the protocol
+        self, stream: Stream[pb.SyncRequest, pb.SyncReply]
+    ) -> None:
+        """Answer a call."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(pb.SyncReply(packed=request.packed))
+
+
+class IdleLink(ClusterLink):
+    """Link of an agent that calls no gateway."""
+
+    async def start(self) -> None:
+        """Start nothing; the permit is held as if calls succeeded."""
+
+    def share_load(self) -> None:
+        """Keep the permit."""
+        self.agent.dispatcher.record_contact()
+
+
+async def _async_serve(announce: Callable[[str], None]) -> None:
+    listener = open_listener("127.0.0.1:0")
+    server = Server([EchoSync()])
+    await server.start(sock=listener)
+    announce(f"{listener.getsockname()[1]}\n")
+    await server.wait_closed()
+
+
+def _announce(line: str) -> None:
+    sys.stdout.write(line)
+    sys.stdout.flush()
+
+
+class PeakReports:
+    """Service that takes load reports as the answers at peak load do."""
+
+    def __init__(self, components: GatewayComponents, agents: int) -> None:
+        self._components = components
+        self._agents = agents
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Start to take reports."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_stop(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _async_run(self) -> None:
+        cluster = self._components.cluster
+        changed = asyncio.Event()
+        remove_listener = cluster.async_add_listener(changed.set)
+        if cluster.snapshot is None:
+            await changed.wait()
+        remove_listener()
+        # The list of instances comes soon after the configuration.
+        await asyncio.sleep(SYNC_INTERVAL_S)
+        assert cluster.snapshot is not None
+        pools = [
+            PoolState(one, self._components) for one in cluster.snapshot.pools
+        ]
+        for pool in pools:
+            pool.refresh(monotonic_s())
+        random = Random(1)
+        reports = build_loads(self._agents).loads
+        while True:
+            await asyncio.sleep(random.expovariate(REPORTS_PER_S))
+            report = replace(
+                random.choice(reports), running=random.randrange(64)
+            )
+            cluster.record_load(report, monotonic_s())
+
+
+class FleetEntries:
+    """Service that changes the loads and evidence of the whole fleet."""
+
+    def __init__(
+        self, components: GatewayComponents, gateways: int, agents: int
+    ) -> None:
+        self._cluster: Any = components.cluster
+        self._evidence = build_evidence(gateways).evidence
+        self._loads = build_loads(agents).loads
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Start to change entries."""
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_stop(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _async_run(self) -> None:
+        random = Random(2)
+        while True:
+            now_s = monotonic_s()
+            for load in self._loads:
+                running = random.randrange(64)
+                self._cluster.record_load(
+                    replace(load, running=running), now_s
+                )
+            self._evidence = tuple(
+                replace(one, requests=one.requests + random.randrange(60))
+                for one in self._evidence
+            )
+            self._cluster.record_evidence(self._evidence, now_s)
+            await asyncio.sleep(SYNC_INTERVAL_S)
+
+
+def _load(path: Path) -> tuple[dict[str, Any], Any]:
+    content = json.loads(path.read_text(encoding="utf-8"))
+    return content, parse_settings(json.dumps(content["settings"]))
+
+
+def _run_gateway_off(path: Path) -> int:
+    content, settings = _load(path)
+    components = build_gateway(settings)
+    components.cluster = FixedCluster(content)
+    # The rollout service belongs to the control part.
+    components.services = components.services[:1]
+    return run_components(components)
+
+
+def _run_gateway_loaded(path: Path) -> int:
+    content, settings = _load(path)
+    components = build_gateway(settings)
+    components.services += (PeakReports(components, content["agents"]),)
+    return run_components(components)
+
+
+def _run_source(path: Path) -> int:
+    content, settings = _load(path)
+    components = build_gateway(settings)
+    components.services += (
+        FleetEntries(components, content["gateways"], content["agents"]),
+    )
+    return run_components(components)
+
+
+def _run_agent_off(path: Path) -> int:
+    with patch.object(agent_application, "ClusterLink", IdleLink):
+        return agent_application.run_agent(_load(path)[1])
+
+
+MODES: dict[str, Callable[[Path], int]] = {
+    "gateway-on": lambda path: run_components(build_gateway(_load(path)[1])),
+    "gateway-off": _run_gateway_off,
+    "gateway-loaded": _run_gateway_loaded,
+    "source": _run_source,
+    "agent-on": lambda path: agent_application.run_agent(_load(path)[1]),
+    "agent-off": _run_agent_off,
+}
+
+
+def main(arguments: list[str]) -> int:
+    """Run the process that the arguments name."""
+    if arguments[0] == "sync-server":
+        # The daemons run on uvloop as well.
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_async_serve(_announce))
+        return 0
+    return MODES[arguments[0]](Path(arguments[1]))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
