--- a/azurewick/configuration/models.py
+++ b/azurewick/configuration/models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Annotated
 from typing import Literal
 from typing import Self
@@ -79,8 +80,8 @@
             ("classes", self.classes),
             ("customers", self.customers),
         ):
-            names = [item.name for item in items]
-            repeated = sorted({n for n in names if names.count(n) > 1})
+            counts = Counter(item.name for item in items)
+            repeated = sorted(n for n, count in counts.items() if count > 1)
             if repeated:
                 raise ValueError(f"{field}: repeated names {repeated}")
         pools = {pool.name for pool in self.pools}
--- a/azurewick/control/digest.py
+++ b/azurewick/control/digest.py
@@ -68,6 +68,10 @@
 
     def __init__(self) -> None:
         self._entries: dict[tuple[str, ...], _Entry] = {}
+        # Entries other than loads, and the number of their changes: a reader
+        # of evidence, cuts and poison must not go through all loads.
+        self._shared: dict[tuple[str, ...], _Entry] = {}
+        self.shared_changes = 0
         self._pending: set[tuple[str, ...]] = set()
         self._counts: Counter[EntryKind] = Counter()
         self.position = 0
@@ -145,6 +149,17 @@
             now_s,
         )
 
+    def shared_entries(self, now_s: float) -> DigestPart:
+        """Return the evidence, cuts and poison that have not expired."""
+        return _build_part(
+            [
+                entry
+                for entry in self._shared.values()
+                if not _is_expired(entry, now_s)
+            ],
+            now_s,
+        )
+
     def find_load(self, name: str, now_s: float) -> LoadReport | None:
         """Return the latest load of a backend server."""
         entry = self._entries.get((EntryKind.LOAD, name))
@@ -188,6 +203,8 @@
             entry = new
             self._entries[key] = entry
             self._counts[kind] += 1
+            if kind is not EntryKind.LOAD:
+                self._shared[key] = entry
             is_urgent = kind in URGENT_KINDS or _is_draining(value)
         else:
             merged, merged_s = _merge(entry, value, time_s)
@@ -203,6 +220,8 @@
             entry.value = merged
             entry.time_s = merged_s
         entry.source = source
+        if kind is not EntryKind.LOAD:
+            self.shared_changes += 1
         if is_urgent:
             self._publish(key, entry, now_s)
             self.urgent_position = entry.position
@@ -249,6 +268,7 @@
 
     def _drop(self, key: tuple[str, ...]) -> None:
         entry = self._entries.pop(key)
+        self._shared.pop(key, None)
         self._counts[entry.kind] -= 1
         self._pending.discard(key)
 
--- a/azurewick/gateway/rollouts.py
+++ b/azurewick/gateway/rollouts.py
@@ -78,6 +78,8 @@
             store, MonotonicLease(self._lease), self, self
         )
         self._moves: tuple[VersionMove, ...] = ()
+        self._shared_rows: list[EvidenceRow] = []
+        self._taken_changes = -1
         self._tasks: list[Task[None]] = []
 
     async def async_start(self) -> None:
@@ -99,7 +101,7 @@
 
     def evidence(self) -> Collection[EvidenceRow]:
         """Return the counts of all gateways."""
-        return (*self._selector.evidence(), *self._find_shared(monotonic_s()))
+        return (*self._selector.evidence(), *self._shared_rows)
 
     def cuts(self) -> Collection[VersionCut]:
         """Return the cuts of all gateways."""
@@ -141,6 +143,12 @@
 
     def _exchange(self, now_s: float) -> None:
         """Share the own evidence and cuts; take those of the others."""
+        if self._has_progressing_move():
+            self._share(now_s)
+        if self._cluster.shared_changes != self._taken_changes:
+            self._take_shared(now_s)
+
+    def _share(self, now_s: float) -> None:
         cluster = self._cluster
         cluster.record_evidence(
             map(_build_count, self._selector.evidence()), now_s
@@ -153,19 +161,16 @@
                 reason=cut.reason,
             )
             cluster.record_cut(notice, now_s)
-        self._take_shared(now_s)
 
-    def _find_shared(self, now_s: float) -> list[EvidenceRow]:
-        """Return the counts of the other gateways."""
-        return [
+    def _take_shared(self, now_s: float) -> None:
+        self._taken_changes = self._cluster.shared_changes
+        shared = self._cluster.shared_entries(now_s)
+        self._shared_rows = [
             _build_row(count)
-            for count in self._cluster.shared_entries(now_s).evidence
+            for count in shared.evidence
             if count.gateway != self._gateway
         ]
-
-    def _take_shared(self, now_s: float) -> None:
-        shared = self._cluster.shared_entries(now_s)
-        self._selector.update_evidence(self._find_shared(now_s), now_s)
+        self._selector.update_evidence(self._shared_rows, now_s)
         for notice in shared.cuts:
             self._selector.record_cut(
                 VersionCut(
--- a/azurewick/membership/coordinator.py
+++ b/azurewick/membership/coordinator.py
@@ -165,8 +165,13 @@
         self._merge(DigestPart(poison=(notice,)), now_s)
 
     def shared_entries(self, now_s: float) -> DigestPart:
-        """Return the merged loads, evidence, cuts and poison."""
-        return self._replica.digest.all_entries(now_s)
+        """Return the merged evidence, cuts and poison."""
+        return self._replica.digest.shared_entries(now_s)
+
+    @property
+    def shared_changes(self) -> int:
+        """Return a number that grows with each change of shared entries."""
+        return self._replica.digest.shared_changes
 
     def async_add_listener(
         self, listener: Callable[[], None]
--- a/bench/capacity_process.py
+++ b/bench/capacity_process.py
@@ -34,11 +34,12 @@
 from azurewick.gateway.composition import build_gateway
 from azurewick.gateway.pool import PoolState
 from azurewick.gateway.wiring import GatewayComponents
-from azurewick.gateway.wiring import UnknownCluster
 from azurewick.helpers.clock import monotonic_s
 from azurewick.membership.view import MembershipView
 from azurewick.membership.view import parse_instances
 from azurewick.models import BackendServer
+from azurewick.models import GatewayInstance
+from azurewick.models import LoadReport
 from azurewick.settings.loader import parse_settings
 from bench.capacity_memory import build_evidence
 from bench.capacity_memory import build_loads
@@ -47,9 +48,10 @@
 REPORTS_PER_S = 7800 / 330
 
 
-class FixedCluster(UnknownCluster):
+class FixedCluster:
     """Cluster state from a file; it exchanges nothing."""
 
+    moves: tuple[dict[str, Any], ...] = ()
     is_ready = True
     incarnation = "fixed"
 
@@ -64,6 +66,36 @@
         """Return the servers of the file."""
         return self._view.backend_servers(pool)
 
+    def gateways(self, now_s: float) -> tuple[GatewayInstance, ...]:
+        """Return the gateways of the file."""
+        return self._view.gateways()
+
+    def record_failure(self, name: str, now_s: float) -> None:
+        """Ignore a failure."""
+
+    def record_success(self, name: str, now_s: float) -> None:
+        """Ignore a success."""
+
+    def record_load(self, report: LoadReport, now_s: float) -> None:
+        """Ignore a load report."""
+
+    def async_add_listener(
+        self, listener: Callable[[], None]
+    ) -> Callable[[], None]:
+        """Ignore a listener: nothing changes."""
+        return lambda: None
+
+    def async_add_load_listener(
+        self, listener: Callable[[LoadReport], None]
+    ) -> None:
+        """Ignore a listener: no report arrives."""
+
+    async def async_start(self) -> None:
+        """Start nothing."""
+
+    async def async_stop(self) -> None:
+        """Stop nothing."""
+
 
 class EchoSync(ControlBase):
     """Sync that returns as many bytes as it gets."""
