--- a/azurewick/agent/control_api.py
+++ b/azurewick/agent/control_api.py
@@ -13,9 +13,9 @@
 from azurewick.const import LOWEST_TIER
 from azurewick.control.control_grpc import AgentControlBase
 from azurewick.control.control_pb2 import AdmissionFloorReply
-from azurewick.control.control_pb2 import Load
 from azurewick.control.control_pb2 import OrderReply
 from azurewick.control.control_pb2 import ProbeReply
+from azurewick.control.conversion import load_to_message
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
@@ -25,24 +25,6 @@
 MAX_FLOOR_HOLD_S = 60.0
 
 
-def build_load(report: LoadReport) -> Load:
-    """Return the message of a load report."""
-    return Load(
-        backend_server=report.backend_server,
-        incarnation=report.incarnation,
-        version=report.version,
-        running=report.running,
-        queued=report.queued,
-        queued_work_s=report.queued_work_s,
-        batch_limit=report.batch_limit,
-        prefill_tokens_per_s=report.prefill_tokens_per_s,
-        decode_tokens_per_s=report.decode_tokens_per_s,
-        floor_tier=report.floor_tier,
-        draining=report.draining,
-        age_ms=round(report.age_s * 1000),
-    )
-
-
 class ControlApi(AgentControlBase):
     """Handlers of the control port.
 
@@ -91,7 +73,7 @@
             ProbeReply(
                 incarnation=self._dispatcher.incarnation,
                 ready=self._dispatcher.is_ready,
-                load=build_load(self._report()),
+                load=load_to_message(self._report()),
             )
         )
 
--- a/azurewick/gateway/protocols.py
+++ b/azurewick/gateway/protocols.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Sequence
 from typing import Any
 from typing import Protocol
 
@@ -69,37 +68,6 @@
         """Stop to follow the cluster."""
 
 
-class Router(Protocol):
-    """Choice of the backend server in one pool."""
-
-    def update_servers(self, servers: Sequence[BackendServer]) -> None:
-        """Replace the servers to choose from."""
-
-    def record_report(self, report: LoadReport, now_s: float) -> None:
-        """Take a load report."""
-
-    def choose(
-        self,
-        offer: Offer,
-        *,
-        excluded: frozenset[str],
-        version: str | None,
-        now_s: float,
-    ) -> str | None:
-        """Return the name of the server to try, None when there is none."""
-
-    def expected_cached_tokens(self, offer: Offer, name: str) -> int:
-        """Return the prompt tokens expected in a server's prefix cache."""
-
-    def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
-        """Note an offer that is about to be sent."""
-
-    def record_result(
-        self, offer: Offer, name: str, result: OfferResult, now_s: float
-    ) -> None:
-        """Note how an offer ended."""
-
-
 class OutputPredictor(Protocol):
     """Expected length of answers."""
 
--- a/azurewick/gateway/wiring.py
+++ b/azurewick/gateway/wiring.py
@@ -19,9 +19,9 @@
 from azurewick.gateway.protocols import OutputPredictor
 from azurewick.gateway.protocols import PoisonDetector
 from azurewick.gateway.protocols import RetryBudget
-from azurewick.gateway.protocols import Router
 from azurewick.gateway.protocols import VersionSelector
 from azurewick.gateway.shedding import FloorConfirmer
+from azurewick.routing.models import Router
 from azurewick.settings.models import GatewaySettings
 
 
--- a/tests/gateway/stubs.py
+++ b/tests/gateway/stubs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections import deque
 from collections.abc import Callable
 from collections.abc import Collection
@@ -29,6 +28,7 @@
 from azurewick.models import LoadReport
 from azurewick.models import Offer
 from azurewick.poison.detector import PoisonDetector as CrashDetector
+from azurewick.routing.baselines import LeastOutstandingRouter
 from azurewick.routing.models import OfferResult
 from azurewick.settings.models import GatewaySettings
 
@@ -50,7 +50,7 @@
         predictor=FixedPredictor(),
         metrics=GatewayMetrics(),
         background=BackgroundTasks(),
-        create_router=LeastOutstanding,
+        create_router=FirstLeastOutstanding,
         create_retry_budget=WindowRetryBudget,
         hash_prefix=lambda body: (),
     )
@@ -212,53 +212,6 @@
                 times.popleft()
 
 
-class LeastOutstanding:
-    """Router that chooses the server with the fewest own offers."""
-
-    def __init__(self) -> None:
-        self._servers: dict[str, BackendServer] = {}
-        self._outstanding: Counter[str] = Counter()
-
-    def update_servers(self, servers: Sequence[BackendServer]) -> None:
-        """Replace the servers to choose from."""
-        self._servers = {server.name: server for server in servers}
-
-    def record_report(self, report: LoadReport, now_s: float) -> None:
-        """Ignore a load report."""
-
-    def choose(
-        self,
-        offer: Offer,
-        *,
-        excluded: frozenset[str],
-        version: str | None,
-        now_s: float,
-    ) -> str | None:
-        """Return the name of the server to try, None when there is none."""
-        names = [
-            name
-            for name, server in self._servers.items()
-            if name not in excluded and version in (None, server.version)
-        ]
-        return min(
-            names, key=lambda name: self._outstanding[name], default=None
-        )
-
-    def expected_cached_tokens(self, offer: Offer, name: str) -> int:
-        """Return 0: nothing is known of the caches."""
-        return 0
-
-    def record_sent(self, offer: Offer, name: str, now_s: float) -> None:
-        """Count an offer."""
-        self._outstanding[name] += 1
-
-    def record_result(
-        self, offer: Offer, name: str, result: OfferResult, now_s: float
-    ) -> None:
-        """Count the end of an offer."""
-        self._outstanding[name] -= 1
-
-
 class AllAgentsRound:
     """Floor round: an acknowledgement, or no answer for the permit time."""
 
@@ -281,3 +234,10 @@
             and now_s - self._unreachable_since[agent] > PERMIT_DURATION_S
             for agent in self._waiting
         )
+
+
+class FirstLeastOutstanding(LeastOutstandingRouter):
+    """Router whose ties go to the first name, so that tests know it."""
+
+    def _pick(self, names: list[str]) -> str:
+        return min(names, key=lambda name: self._outstanding[name])
