Keep a class on its version and offers on the newest incarnation

Cause: found in the read-through. A relay's older report could bring back a former incarnation, whose offers agents refuse; a class whose configured version had no server left got any other version, one under test included. Change: reports older than the last one are left out, also after a broken connection; without a move only the configured version is chosen; one method finds the servers that a version uses. Conclusion: nothing else in the choice of servers changed.

--- a/azurewick/gateway/pool.py
+++ b/azurewick/gateway/pool.py
@@ -40,19 +40,31 @@
         self.router = components.create_router()
         self.retry_budget = components.create_retry_budget()
         self.reports: dict[str, LoadReport] = {}
+        self._reported_s: dict[str, float] = {}
         self._components = components
         self._servers: dict[str, BackendServer] = {}
         self._placement = SuspectPlacement()
         self._late_budgets: dict[int, RetryBudget] = {}
         self._suspect_ended = Event()
-        components.cluster.async_add_load_listener(self._take_shared_load)
+        components.cluster.async_add_load_listener(self._take_report)
 
-    def _take_shared_load(self, report: LoadReport) -> None:
-        """Take a report that came through a relay or a probe."""
-        if report.backend_server not in self._servers:
+    def _take_report(self, report: LoadReport) -> None:
+        """Take a report that came through a relay or a probe.
+
+        It may be older than the last one, and of a former incarnation.
+        """
+        name = report.backend_server
+        if self.reports.get(name) is report:
+            return
+        now_s = monotonic_s()
+        reported_s = now_s - report.age_s
+        if name not in self._servers:
             return
-        self.reports[report.backend_server] = report
-        self.router.record_report(report, monotonic_s())
+        if reported_s < self._reported_s.get(name, reported_s):
+            return
+        self._reported_s[name] = reported_s
+        self.reports[name] = report
+        self.router.record_report(report, now_s)
 
     def refresh(self, now_s: float) -> None:
         """Take the live servers from the cluster state."""
@@ -66,6 +78,11 @@
             for name, report in self.reports.items()
             if name in current
         }
+        self._reported_s = {
+            name: reported_s
+            for name, reported_s in self._reported_s.items()
+            if name in current
+        }
         self.router.update_servers(servers)
         self._components.floor.observe_servers(self.name, servers)
 
@@ -74,6 +91,10 @@
         """Return the servers that get new work."""
         return tuple(self._servers.values())
 
+    @property
+    def _versions(self) -> set[str]:
+        return {server.version for server in self._servers.values()}
+
     async def async_choose(
         self, context: RequestContext, excluded: frozenset[str]
     ) -> BackendServer | AzurewickError:
@@ -83,12 +104,11 @@
         detector = self._components.poison
         if detector.is_suspect(context.fingerprint, now_s):
             return await self._async_choose_for_suspect(context, excluded)
-        if _is_late(context, now_s):
+        if _is_expired(context, now_s):
             return _missed_target()
         offer = self.build_offer(context, "")
-        versions = {server.version for server in self._servers.values()}
         name = self._choose_server(
-            offer, context.request_class, versions, excluded, now_s
+            offer, context.request_class, excluded, now_s
         )
         if name is None or name not in self._servers:
             return _no_server()
@@ -99,18 +119,19 @@
         self,
         offer: Offer,
         request_class: RequestClass,
-        versions: set[str],
         excluded: frozenset[str],
         now_s: float,
     ) -> str | None:
-        selector = self._components.versions
+        versions = self._versions
         version = self._choose_version(offer, request_class, versions, now_s)
         name = self._choose_server_of(offer, version, excluded, now_s)
         if name is not None or version is None or not excluded:
             return name
         # All servers of the version have refused. A refusal must not raise
         # the share of a version under test, so only the old one may follow.
-        other = selector.choose_fallback(offer, version, versions)
+        other = self._components.versions.choose_fallback(
+            offer, version, versions
+        )
         if other is None:
             return None
         return self._choose_server_of(offer, other, excluded, now_s)
@@ -123,28 +144,24 @@
         now_s: float,
     ) -> str | None:
         version = self._components.versions.choose(offer, versions, now_s)
-        if version is None and request_class.version in versions:
-            # Without a move the class stays on its configured version.
-            return request_class.version
-        return version
+        # Without a move the class stays on its configured version, also when
+        # no server of it is left: another one was not asked for.
+        return request_class.version if version is None else version
 
-    def _find_allowed_servers(
-        self, context: RequestContext, now_s: float
+    def _find_open_servers(
+        self, offer: Offer, version: str | None
     ) -> frozenset[str]:
-        """Return the servers of the version that a request may get."""
-        offer = self.build_offer(context, "")
-        versions = {server.version for server in self._servers.values()}
-        version = self._choose_version(
-            offer, context.request_class, versions, now_s
-        )
-        if version is None:
-            return frozenset(self._servers)
+        """Return the servers that a version uses for a class."""
         names = frozenset(
             server.name
             for server in self._servers.values()
-            if server.version == version
+            if version in (None, server.version)
+        )
+        if version is None:
+            return names
+        return self._components.versions.choose_servers(
+            offer.request_class, version, names
         )
-        return names - self._find_closed_servers(offer, version)
 
     def _choose_server_of(
         self,
@@ -153,8 +170,9 @@
         excluded: frozenset[str],
         now_s: float,
     ) -> str | None:
-        if version is not None:
-            excluded |= self._find_closed_servers(offer, version)
+        excluded |= self._servers.keys() - self._find_open_servers(
+            offer, version
+        )
         return self.router.choose(
             offer, excluded=excluded, version=version, now_s=now_s
         )
@@ -168,7 +186,11 @@
             limit_s = min(limit_s, deadline_s)
         while (now_s := monotonic_s()) < limit_s:
             self.refresh(now_s)
-            names = self._find_allowed_servers(context, now_s) - excluded
+            offer = self.build_offer(context, "")
+            version = self._choose_version(
+                offer, context.request_class, self._versions, now_s
+            )
+            names = self._find_open_servers(offer, version) - excluded
             if not names:
                 return _no_server()
             if self._components.poison.is_poison(context.fingerprint, now_s):
@@ -191,19 +213,6 @@
                 continue
         return _missed_target()
 
-    def _find_closed_servers(
-        self, offer: Offer, version: str
-    ) -> frozenset[str]:
-        """Return the servers that a version under test doesn't use."""
-        names = frozenset(
-            server.name
-            for server in self._servers.values()
-            if server.version == version
-        )
-        return names - self._components.versions.choose_servers(
-            offer.request_class, version, names
-        )
-
     def record_request(self, context: RequestContext) -> None:
         """Count a request for the budgets of retries and late answers."""
         now_s = monotonic_s()
@@ -278,6 +287,8 @@
         refuse offers for its former incarnation.
         """
         self.reports.pop(server, None)
+        # A relay may still send reports of the former incarnation.
+        self._reported_s[server] = monotonic_s()
 
     def take_load(
         self, response: ClientResponse, name: str
@@ -287,8 +298,7 @@
         if report is None or report.backend_server != name:
             return None
         now_s = monotonic_s()
-        self.reports[name] = report
-        self.router.record_report(report, now_s)
+        self._take_report(report)
         self._components.cluster.record_load(report, now_s)
         return report
 
@@ -321,7 +331,7 @@
             )
 
 
-def _is_late(context: RequestContext, now_s: float) -> bool:
+def _is_expired(context: RequestContext, now_s: float) -> bool:
     deadline_s = context.deadline_s
     return deadline_s is not None and now_s >= deadline_s
 
