--- a/azurewick/gateway/offer.py
+++ b/azurewick/gateway/offer.py
@@ -93,8 +93,9 @@
         """Return whether another offer may follow a refusal.
 
         Before the last offer of a request that would be shed, the floor is
-        confirmed: it frees the room that lower tiers hold in the queues. An
-        agent gets a request once, because its ledger refuses known ids.
+        confirmed: it frees the room that lower tiers hold in the queues. A
+        late answer is one more offer, which an agent that has refused the
+        request may get again.
         """
         budget = pool.retry_budget
         if running.context.is_late:
