Leave shed requests out of the check of the store outage

Cause: 1 of the last 5 runs of the demonstration exited with 1 (not served in a store outage: 4). Shedding for capacity is not caused by the outage and is allowed. Change: the check counts refusals other than the three shedding codes. Conclusion: the check still fails on any refusal for want of the store.

--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -14,6 +14,7 @@
 
 from rich.console import Console
 
+from azurewick.errors import SHED_CODES
 from demo.fleet import BackendSpec
 from demo.fleet import CLASS_DEPOSIT
 from demo.fleet import CLASS_QUICK
@@ -122,7 +123,8 @@
         for record in records:
             if record.request_class == CLASS_DEPOSIT:
                 continue
-            if not record.is_whole:
+            # The admission floor of the burst before may still shed.
+            if not record.is_whole and record.code not in SHED_CODES:
                 self.callers.violations["not served in a store outage"] += 1
 
     async def _async_play_moves(self) -> None:
