Probe servers whose load reports have stopped

Change: a server whose last report is older than three publications and 5 s counts one failure, which makes the prober ask it and takes nothing out.

--- a/azurewick/control/digest.py
+++ b/azurewick/control/digest.py
@@ -238,10 +238,15 @@
         found.reverse()
         return found
 
-    def _publish_pending(self, now_s: float) -> None:
-        period_s = max(
+    @property
+    def publish_period_s(self) -> float:
+        """Return the time between two publications of one entry."""
+        return max(
             MINIMUM_PERIOD_S, len(self._entries) / PUBLISHED_ENTRIES_PER_S
         )
+
+    def _publish_pending(self, now_s: float) -> None:
+        period_s = self.publish_period_s
         for key in sorted(self._pending):
             entry = self._entries[key]
             if now_s - entry.published_s >= period_s:
--- a/azurewick/membership/coordinator.py
+++ b/azurewick/membership/coordinator.py
@@ -289,9 +289,11 @@
             if now_s - forgotten_s > FORGET_INTERVAL_S:
                 forgotten_s = now_s
                 moves = self._replica.documents[DocumentName.MOVES]
-                self._replica.digest.forget(
+                digest = self._replica.digest
+                digest.forget(
                     now_s, set(moves.items) if moves.revision else None
                 )
+                self._view.record_silence(digest.publish_period_s, now_s)
             await asyncio.sleep(interval_s / 2)
 
     def _choose_watches(self, now_s: float) -> Collection[DocumentName]:
--- a/azurewick/membership/view.py
+++ b/azurewick/membership/view.py
@@ -25,6 +25,9 @@
 MAXIMUM_GATEWAY_ABSENCE_S = 2.0
 # A returned server is on trial for this long: one failure takes it out.
 TRIAL_S = 10.0
+# A report may miss two publications on its way, and Sync takes its time.
+SILENCE_PERIODS = 3
+SILENCE_BASE_S = 5.0
 # After this time without a failure the absence starts small again.
 STABLE_S = 60.0
 # What traffic showed is kept this long after the list dropped the instance,
@@ -175,6 +178,22 @@
             health.suspected = False
             health.trial_until_s = now_s + TRIAL_S
 
+    def record_silence(self, period_s: float, now_s: float) -> None:
+        """Count a failure of each server whose last report is too old.
+
+        period_s is the time between two reports of one server in the digest.
+        One failure takes no server out; it makes the prober ask it. Without
+        it a gateway that sends a dead server no request keeps it for ever.
+        """
+        limit_s = SILENCE_BASE_S + SILENCE_PERIODS * period_s
+        for name in self._instances.servers:
+            health = self._health.get(name)
+            if health is None or health.failures or not health.incarnation:
+                continue
+            is_silent = now_s - health.reported_s > limit_s
+            if is_silent and now_s >= health.trial_until_s:
+                self.record_failure(name, now_s)
+
     def is_available(self, name: str) -> bool:
         """Return whether nothing but the list speaks against new work."""
         health = self._health.get(name)
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -125,6 +125,23 @@
         names = [server.name for server in view.servers_to_probe(8, 3.0)]
         self.assertEqual([NAME, "agent-2"], names)
 
+    def test_silent_servers_are_probed_but_not_taken_out(self):
+        # A gateway that sends a dead server no request must find out too.
+        for name, steps, at_s, probed in (
+            ("never reported", [], 100.0, False),
+            ("reported lately", [load()], 10.0, False),
+            ("silent", [load()], 100.0, True),
+        ):
+            with self.subTest(name):
+                view = MembershipView()
+                update_list(view, {NAME: agent_spec()}, 10, 0.0)
+                for step in steps:
+                    step(view, 1.0)
+                view.record_silence(2.0, at_s)
+                servers = view.servers_to_probe(10, at_s)
+                self.assertEqual(probed, bool(servers))
+                self.assertTrue(view.is_available(NAME))
+
     def test_invalid_and_unchanged_instances(self):
         """One bad entry must not hide the others, nor a change be missed."""
         specs = {
