Remove two methods that nothing calls

Cause: read-through of the whole change: CustomerLimiter.retain and Digest.find_load have no caller, in the product or in the tests. Change: both are gone. Behaviour stays as it is.

--- a/azurewick/admission/customer_limit.py
+++ b/azurewick/admission/customer_limit.py
@@ -23,11 +23,3 @@
             return None
         self._buckets[customer.name] = (tokens, now_s)
         return (1.0 - tokens) / max(customer.rate_limit_per_s, 1e-6)
-
-    def retain(self, names: frozenset[str]) -> None:
-        """Forget customers that are no longer configured."""
-        self._buckets = {
-            name: bucket
-            for name, bucket in self._buckets.items()
-            if name in names
-        }
--- a/azurewick/control/digest.py
+++ b/azurewick/control/digest.py
@@ -160,14 +160,6 @@
             now_s,
         )
 
-    def find_load(self, name: str, now_s: float) -> LoadReport | None:
-        """Return the latest load of a backend server."""
-        entry = self._entries.get((EntryKind.LOAD, name))
-        if entry is None or _is_expired(entry, now_s):
-            return None
-        report: LoadReport = _value_now(entry, now_s)
-        return report
-
     def forget(
         self, now_s: float, moved_classes: Collection[str] | None = None
     ) -> None:
