--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -17,8 +17,10 @@
 from aiomisc import Service
 
 from azurewick.entry.backend_client import BackendClient
+from azurewick.entry.drain import Drain
 from azurewick.entry.filters import BodyFilter
 from azurewick.entry.filters import CustomerFilter
+from azurewick.entry.filters import DrainFilter
 from azurewick.entry.filters import QuotaFilter
 from azurewick.entry.filters import RouteFilter
 from azurewick.entry.handler import EntryHandler
@@ -26,6 +28,7 @@
 from azurewick.entry.metrics import EntryMetrics
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.quota import QuotaLimiter
+from azurewick.entry.quota import QuotaTolerance
 from azurewick.entry.services import ServicePools
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.state import DocumentDecoder
@@ -40,10 +43,6 @@
 
 _LOGGER = getLogger(__name__)
 
-# The balancer stops to send after two missed checks, one a second.
-DRAIN_NOTICE_S = 3.2
-# Time before the platform's kill at which the process ends by itself.
-KILL_MARGIN_S = 0.8
 MAX_FIELD_BYTES = 16_384
 # Connections that send no request for this long are closed.
 FIRST_REQUEST_TIMEOUT_S = 15.0
@@ -66,6 +65,7 @@
         self.state = FleetState(decoder, monotonic_s)
         self.metrics = EntryMetrics()
         self._client = BackendClient(protocol)
+        self._drain = Drain(settings.grace_s)
         self._watches = FleetWatches(store, kinds, self.state, random)
         self._pools = ServicePools(
             settings=settings,
@@ -75,7 +75,13 @@
             clock=monotonic_s,
             random=random,
         )
-        limiter = QuotaLimiter()
+        limiter = QuotaLimiter(
+            QuotaTolerance(
+                window_s=settings.quota_window_s,
+                overage=settings.quota_overage,
+                allowance=settings.quota_allowance,
+            )
+        )
         self._directory = InstanceDirectory(
             store, settings.name, random, self._set_share
         )
@@ -85,12 +91,15 @@
             filters=FilterChain(
                 (
                     RouteFilter(self.state),
+                    DrainFilter(self._drain, monotonic_s),
                     CustomerFilter(),
                     BodyFilter(),
                     QuotaFilter(limiter, monotonic_s),
                 )
             ),
             pools=self._pools,
+            drain=self._drain,
+            limiter=limiter,
             metrics=self.metrics,
             clock=monotonic_s,
             random=random,
@@ -123,15 +132,14 @@
 
     async def async_drain(self) -> None:
         """Report not ready and serve on until the callers have gone."""
-        loop = asyncio.get_running_loop()
-        ends_s = loop.time() + self.settings.grace_s - KILL_MARGIN_S
-        self.handler.is_draining = True
+        drain = self._drain
+        drain.start(monotonic_s())
         _LOGGER.info(
             "entry instance draining", extra={"active": self.handler.active}
         )
-        await asyncio.sleep(DRAIN_NOTICE_S)
+        await asyncio.sleep(drain.notice_ends_s() - monotonic_s())
         try:
-            async with asyncio.timeout_at(ends_s):
+            async with asyncio.timeout(drain.stops_s() - monotonic_s()):
                 await self.handler.async_wait_idle()
         except TimeoutError:
             _LOGGER.warning(
@@ -156,7 +164,7 @@
         self._pools.placement.share = share
 
     async def _async_ready(self, request: BaseRequest) -> StreamResponse:
-        ready = self.state.is_ready and not self.handler.is_draining
+        ready = self.state.is_ready and not self._drain.is_active
         return json_response({"ready": ready}, status=200 if ready else 503)
 
     async def _async_listen(self, server: Server, address: str) -> None:
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.line import Rank
 from azurewick.entry.line import Waiter
 from azurewick.entry.line import WaitingLine
 from azurewick.entry.placement import Placement
@@ -40,7 +41,7 @@
     async def async_acquire(
         self,
         *,
-        tier: int,
+        rank: Rank,
         on_time_until_s: float,
         waits_until_s: float,
         excluded: Collection[str] = (),
@@ -54,7 +55,7 @@
         loop = get_running_loop()
         waiter: Waiter[Future[Backend]] = Waiter(
             payload=loop.create_future(),
-            tier=tier,
+            rank=rank,
             arrived_s=now_s,
             on_time_until_s=on_time_until_s,
             waits_until_s=waits_until_s,
--- /dev/null
+++ b/azurewick/entry/drain.py
@@ -0,0 +1,47 @@
+"""Drain of an entry instance before it stops."""
+
+from __future__ import annotations
+
+# The balancer stops to send after two missed checks, one a second.
+NOTICE_S = 2.6
+# A stream that starts later might not end before the stop.
+LAST_STREAM_S = 2.9
+# Time before the platform's kill at which the process ends by itself.
+KILL_MARGIN_S = 0.7
+# A plain request needs less than this.
+PLAIN_REQUEST_S = 1.0
+
+
+class Drain:
+    """Times of a drain; grace_s lies between SIGTERM and the kill."""
+
+    def __init__(self, grace_s: float) -> None:
+        self._grace_s = grace_s
+        self._started_s: float | None = None
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether the instance is shutting down."""
+        return self._started_s is not None
+
+    def start(self, now_s: float) -> None:
+        """Start to drain."""
+        self._started_s = now_s
+
+    def notice_ends_s(self) -> float:
+        """Return when the balancer has stopped to send."""
+        assert self._started_s is not None
+        return self._started_s + NOTICE_S
+
+    def stops_s(self) -> float:
+        """Return when the process has to end."""
+        assert self._started_s is not None
+        return self._started_s + self._grace_s - KILL_MARGIN_S
+
+    def takes(self, now_s: float, *, is_stream: bool) -> bool:
+        """Return whether a request that comes now can still end."""
+        if self._started_s is None:
+            return True
+        if is_stream:
+            return now_s < self._started_s + LAST_STREAM_S
+        return now_s < self.stops_s() - PLAIN_REQUEST_S
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -16,6 +16,7 @@
 from azurewick.entry.backends import Backend
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.events import EventSplitter
+from azurewick.entry.line import Rank
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendCall
 from azurewick.entry.models import CallerRequest
@@ -25,6 +26,7 @@
 from azurewick.errors import ErrorCode
 from azurewick.errors import Outcome
 from azurewick.errors import Step
+from azurewick.helpers.http_client import watch_connection
 
 # Rejections after which a request is refused. A rejected request hasn't run,
 # so they don't count as attempts, but each one costs the shared budget.
@@ -103,7 +105,7 @@
         route: Route,
         *,
         customer: str,
-        tier: int,
+        rank: Rank,
         body: bytes,
         writer: AnswerWriter,
     ) -> None:
@@ -112,7 +114,7 @@
         self._request = request
         self._route = route
         self._customer = customer
-        self._tier = tier
+        self._rank = rank
         self._body = body
         self._writer = writer
         self._tried: set[str] = set()
@@ -175,7 +177,7 @@
             self._started_s + target_s * LONGEST_WAIT_TARGETS,
         )
         backend = await self._parts.dispatcher.async_acquire(
-            tier=self._tier,
+            rank=self._rank,
             on_time_until_s=on_time_until_s,
             waits_until_s=max(now_s, waits_until_s),
             excluded=self._tried,
@@ -267,6 +269,7 @@
         self, response: ClientResponse, head: AnswerHead
     ) -> None:
         """Read the answer whole, then pass it on."""
+        connection = watch_connection(response)
         parts: list[bytes] = []
         size = 0
         whole = True
@@ -276,6 +279,7 @@
             if size > WHOLE_ANSWER_BYTES:
                 whole = False
                 break
+        connection.raise_if_reset()
         length = size if whole else head.content_length
         await self._async_start(head, length)
         for data in parts:
@@ -283,11 +287,13 @@
         if not whole:
             async for data in response.content.iter_any():
                 await self._async_write(data)
+            connection.raise_if_reset()
 
     async def _async_relay_stream(
         self, backend: Backend, response: ClientResponse, head: AnswerHead
     ) -> None:
         """Pass the events on as they arrive, whole events only."""
+        connection = watch_connection(response)
         splitter = EventSplitter()
         if not self._route.is_resumable:
             await self._async_start(head, head.content_length)
@@ -310,6 +316,7 @@
                 await self._async_start(head, head.content_length)
                 await self._async_write(whole)
                 self._last_event_id = splitter.last_event_id
+        connection.raise_if_reset()
         if self._route.is_resumable:
             await self._async_start(head, head.content_length)
             await self._async_write(splitter.rest)
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -9,6 +9,7 @@
 from aiohttp.web import RequestPayloadError
 
 from azurewick.entry.context import EntryContext
+from azurewick.entry.drain import Drain
 from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.state import FleetState
 from azurewick.errors import AzurewickError
@@ -17,6 +18,8 @@
 
 # A starting instance reads the configuration within a second.
 RETRY_AFTER_NOT_READY_S = 0.5
+# The caller's next connection goes to another instance.
+RETRY_AFTER_DRAINING_S = 0.02
 MAX_REQUEST_ID_BYTES = 128
 
 
@@ -53,6 +56,30 @@
             )
 
 
+class DrainFilter:
+    """Refuses streams that can't end before a draining instance stops.
+
+    Plain requests are short and are served to the end.
+    """
+
+    def __init__(self, drain: Drain, clock: Callable[[], float]) -> None:
+        self._drain = drain
+        self._clock = clock
+
+    async def async_apply(self, context: EntryContext) -> None:
+        """Refuse a stream that comes late in the drain."""
+        route = context.route
+        assert route is not None
+        if self._drain.takes(self._clock(), is_stream=route.is_stream):
+            return
+        raise AzurewickError(
+            ErrorCode.DRAINING,
+            "entry instance is shutting down",
+            step=Step.RECEIVE,
+            retry_after_s=RETRY_AFTER_DRAINING_S,
+        )
+
+
 class CustomerFilter:
     """Finds the customer by the API key."""
 
@@ -125,6 +152,7 @@
                 step=Step.LIMIT,
                 retry_after_s=wait_s,
             )
+        context.has_quota = True
 
 
 def _refuse(code: ErrorCode, message: str) -> AzurewickError:
--- a/azurewick/entry/handler.py
+++ b/azurewick/entry/handler.py
@@ -16,15 +16,18 @@
 
 from azurewick.const import HEADER_RETRY_AFTER
 from azurewick.entry.context import EntryContext
+from azurewick.entry.drain import Drain
 from azurewick.entry.exchange import BrokenAnswerError
 from azurewick.entry.exchange import Exchange
 from azurewick.entry.exchange import ExchangeTrace
 from azurewick.entry.metrics import EntryMetrics
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.protocols import WireProtocol
+from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.services import ServicePools
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
+from azurewick.errors import Outcome
 from azurewick.helpers.filter_chain import FilterChain
 
 _LOGGER = getLogger(__name__)
@@ -40,10 +43,10 @@
 class CallerWriter:
     """Writes an answer to the caller."""
 
-    def __init__(self, http: BaseRequest, is_draining: bool) -> None:
+    def __init__(self, http: BaseRequest, drain: Drain) -> None:
         self.response: StreamResponse | None = None
         self._http = http
-        self._is_draining = is_draining
+        self._drain = drain
 
     async def async_start(self, head: AnswerHead, length: int | None) -> None:
         """Send the head of the answer."""
@@ -52,7 +55,7 @@
             response.headers.add(name, value)
         if length is not None:
             response.content_length = length
-        if self._is_draining:
+        if self._drain.is_active:
             response.force_close()
         self.response = response
         await response.prepare(self._http)
@@ -72,14 +75,17 @@
         protocol: WireProtocol,
         filters: FilterChain[EntryContext],
         pools: ServicePools,
+        limiter: QuotaLimiter,
+        drain: Drain,
         metrics: EntryMetrics,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
-        self.is_draining = False
         self._protocol = protocol
         self._filters = filters
         self._pools = pools
+        self._limiter = limiter
+        self._drain = drain
         self._metrics = metrics
         self._clock = clock
         self._random = random
@@ -111,7 +117,7 @@
         request = self._protocol.decode_request(http, self._clock())
         context = EntryContext(http=http, request=request)
         trace = ExchangeTrace()
-        writer = CallerWriter(http, self.is_draining)
+        writer = CallerWriter(http, self._drain)
         try:
             await self._filters.async_apply(context)
             exchange = self._build_exchange(context, writer)
@@ -123,6 +129,7 @@
             return writer.response
         except AzurewickError as err:
             response = self._build_refusal(err)
+            self._return_quota(context, err)
             trace.status = response.status
             self._record(context, trace, err.code.value, err)
             return response
@@ -145,11 +152,18 @@
             context.request,
             route,
             customer="" if customer is None else customer.name,
-            tier=context.tier,
+            rank=context.rank,
             body=context.body,
             writer=writer,
         )
 
+    def _return_quota(
+        self, context: EntryContext, error: AzurewickError
+    ) -> None:
+        if context.has_quota and error.outcome is Outcome.NOT_RUN:
+            assert context.customer is not None
+            self._limiter.give_back(context.customer, context.request)
+
     def _build_refusal(self, error: AzurewickError) -> Response:
         response = json_response(error.as_body(), status=error.http_status)
         if error.retry_after_s is not None:
@@ -157,7 +171,7 @@
                 1.0, RETRY_SPREAD
             )
             response.headers[HEADER_RETRY_AFTER] = f"{retry_after_s:.3f}"
-        if self.is_draining or error.code in (
+        if self._drain.is_active or error.code in (
             ErrorCode.BODY_TOO_LARGE,
             ErrorCode.REQUEST_TIMEOUT,
         ):
@@ -185,7 +199,7 @@
                 "customer": (
                     "" if context.customer is None else context.customer.name
                 ),
-                "tier": context.tier,
+                "rank": context.rank,
                 "outcome": code,
                 "status": trace.status,
                 "attempts": trace.attempts,
--- a/azurewick/entry/line.py
+++ b/azurewick/entry/line.py
@@ -9,6 +9,9 @@
 
 _Payload = TypeVar("_Payload")
 
+# Tier of the customer, then that of the route; the lowest goes first.
+Rank = tuple[int, int]
+
 
 @dataclass(eq=False, kw_only=True, slots=True)
 class Waiter(Generic[_Payload]):
@@ -19,7 +22,7 @@
     """
 
     payload: _Payload
-    tier: int
+    rank: Rank
     arrived_s: float
     on_time_until_s: float
     waits_until_s: float
@@ -35,7 +38,7 @@
 
     Requests that can still meet their target go before late ones: a queue
     that serves the oldest first answers everything just too late after a
-    burst. Higher tiers go first within both groups.
+    burst. Lower ranks go first within both groups.
     """
 
     def __init__(self) -> None:
@@ -58,7 +61,7 @@
             self._waiters,
             key=lambda waiter: (
                 not waiter.is_on_time(now_s),
-                waiter.tier,
+                waiter.rank,
                 waiter.arrived_s,
             ),
         )
--- a/azurewick/entry/models.py
+++ b/azurewick/entry/models.py
@@ -7,6 +7,8 @@
 from dataclasses import field
 from enum import StrEnum
 
+from multidict import CIMultiDictProxy
+
 from azurewick.entry.routes import RouteTable
 
 
@@ -178,7 +180,7 @@
     target: str
     path: str
     host: str
-    headers: Mapping[str, str]
+    headers: CIMultiDictProxy[str]
     received_s: float
     deadline_s: float | None = None
     api_key: str | None = None
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -10,6 +10,8 @@
 
 from azurewick.entry.backends import Backend
 
+# Share until the number of instances is known.
+INITIAL_SHARE = 0.25
 # Part of a server's places by which an instance may exceed its share: the
 # callers spread unevenly over the instances.
 SHARE_MARGIN = 1.25
@@ -48,7 +50,7 @@
         failure_domain: str,
         regions: Mapping[str, str],
         random: Random,
-        share: float = 1.0,
+        share: float = INITIAL_SHARE,
     ) -> None:
         self.share = share
         self._failure_domain = failure_domain
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -16,15 +16,40 @@
     burst: float
 
 
+# Share until the number of instances is known.
+INITIAL_SHARE = 0.25
+# Part of the tolerated overrun that instances use together. The rest covers
+# instances that have just started and those that count each other late.
+OVERRUN_SAFETY = 0.8
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaTolerance:
+    """Overrun of a quota that all instances together may cause.
+
+    In each window, allowance tokens and the share overage of the quota may
+    pass beyond it.
+    """
+
+    window_s: float = 8.0
+    overage: float = 0.0
+    allowance: float = 0.0
+
+
 class QuotaLimiter:
     """Token bucket a customer for this instance's share of the quota.
 
     share is the part of the quota that this instance may use, between 0
-    and 1.
+    and 1. The bucket is deeper than the burst by the tolerated overrun:
+    single requests are large against a share of the burst, and callers
+    spread unevenly over the instances.
     """
 
-    def __init__(self, share: float = 1.0) -> None:
+    def __init__(
+        self, tolerance: QuotaTolerance, share: float = INITIAL_SHARE
+    ) -> None:
         self.share = share
+        self._tolerance = tolerance
         self._buckets: dict[str, _Bucket] = {}
 
     def take(
@@ -51,9 +76,18 @@
             cost = request_cost(customer, request)
             bucket.tokens = min(bucket.burst, bucket.tokens + cost)
 
+    def _depth(self, customer: CustomerQuota) -> float:
+        tolerance = self._tolerance
+        overrun = tolerance.overage * (
+            customer.rate_per_s * tolerance.window_s + customer.burst
+        )
+        if customer.counts_tokens:
+            overrun += tolerance.allowance
+        return customer.burst + OVERRUN_SAFETY * overrun
+
     def _refill(self, customer: CustomerQuota, now_s: float) -> _Bucket:
         rate_per_s = customer.rate_per_s * self.share
-        burst = max(customer.burst, customer.rate_per_s) * self.share
+        burst = self._depth(customer) * self.share
         bucket = self._buckets.get(customer.name)
         if bucket is None:
             bucket = _Bucket(burst, now_s, rate_per_s, burst)
--- a/azurewick/helpers/http_client.py
+++ b/azurewick/helpers/http_client.py
@@ -5,9 +5,11 @@
 from aiohttp import ClientConnectorError
 from aiohttp import ClientError
 from aiohttp import ClientHandlerType
+from aiohttp import ClientOSError
 from aiohttp import ClientRequest
 from aiohttp import ClientResponse
 from aiohttp import ConnectionTimeoutError
+from aiohttp.client_proto import ResponseHandler
 
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -41,3 +43,29 @@
             peer=str(request.url.origin()),
             outcome=Outcome.UNKNOWN,
         ) from err
+
+
+class ConnectionWatch:
+    """Tells whether a response's connection was reset.
+
+    A body without a length ends with its connection. aiohttp ends such a
+    body in the same way for a closed and for a reset connection, after
+    which it isn't complete.
+    """
+
+    def __init__(self, protocol: ResponseHandler | None) -> None:
+        self._protocol = protocol
+
+    def raise_if_reset(self) -> None:
+        """Raise ClientOSError if the connection was reset."""
+        if self._protocol is None:
+            return
+        error = self._protocol.exception()
+        if isinstance(error, ClientOSError):
+            raise error
+
+
+def watch_connection(response: ClientResponse) -> ConnectionWatch:
+    """Return the watch of a response whose body is not read yet."""
+    connection = response.connection
+    return ConnectionWatch(None if connection is None else connection.protocol)
--- a/azurewick/platform/store.py
+++ b/azurewick/platform/store.py
@@ -116,9 +116,10 @@
         self, plural: str, after_version: int, timeout_s: float
     ) -> AsyncIterator[WatchEvent]:
         """Yield changes after a version until the time-out."""
+        wait_ms = round(timeout_s * 1000)
         body = await self._async_call(
             "GET",
-            f"{plural}?watch={after_version}&wait_ms={round(timeout_s * 1000)}",
+            f"{plural}?watch={after_version}&wait_ms={wait_ms}",
             limit=MAX_LIST_BYTES,
             timeout_s=timeout_s + self._request_timeout_s,
         )
