--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -26,6 +26,7 @@
 from azurewick.entry.handler import EntryHandler
 from azurewick.entry.instances import InstanceDirectory
 from azurewick.entry.metrics import EntryMetrics
+from azurewick.entry.placement import InstanceShare
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.quota import QuotaTolerance
@@ -159,8 +160,8 @@
             "entry instance stopped", extra={"instance": self.settings.name}
         )
 
-    def _set_share(self, share: float) -> None:
-        self._limiter.share = share
+    def _set_share(self, share: InstanceShare) -> None:
+        self._limiter.share = share.fraction
         self._pools.placement.share = share
 
     async def _async_ready(self, request: BaseRequest) -> StreamResponse:
--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -18,6 +18,9 @@
 FAILURES_UNTIL_EJECTED = 3
 # Weight of the newest measurement in the averages of a server.
 AVERAGE_WEIGHT = 0.2
+# Bounds of the learned pace: one odd answer must not rule a server out.
+FASTEST_PACE = 0.1
+SLOWEST_PACE = 30.0
 # Servers that lapsed with the store's outage are listed again within two
 # seconds of its return.
 LAPSE_GRACE_S = 2.2
@@ -27,8 +30,8 @@
 class Backend:
     """Backend server with what this instance has learned about it.
 
-    first_event_s and event_gap_s are moving averages of the excess over the
-    expected first event and of the pauses between events.
+    pace is the moving average of the time of its answers against that of
+    the nominal server; a slow server has a pace above 1.
     """
 
     entry: BackendEntry
@@ -36,7 +39,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until_s: float = 0.0
-    answer_s: float | None = None
+    pace: float = 1.0
     missing_since_s: float | None = None
 
     @property
@@ -44,19 +47,24 @@
         """Return the name of the server."""
         return self.entry.name
 
+    @property
+    def is_engine(self) -> bool:
+        """Return whether the server is a model engine."""
+        return self.entry.is_engine
+
     def is_available(self, now_s: float) -> bool:
         """Return whether the server may get new work."""
         return not self.entry.is_draining and now_s >= self.ejected_until_s
 
-    def record_success(self, answer_s: float) -> None:
-        """Take the time of an answer; it ends a series of failures."""
+    def record_success(self) -> None:
+        """Note a sound answer; it ends a series of failures."""
         self.failures = 0
         self.ejections = 0
-        self.answer_s = (
-            answer_s
-            if self.answer_s is None
-            else self.answer_s + AVERAGE_WEIGHT * (answer_s - self.answer_s)
-        )
+
+    def record_pace(self, took_s: float, nominal_s: float) -> None:
+        """Take the time of an answer against that of the nominal server."""
+        pace = min(SLOWEST_PACE, max(FASTEST_PACE, took_s / nominal_s))
+        self.pace += AVERAGE_WEIGHT * (pace - self.pace)
 
     def record_failure(self, now_s: float, *, is_unreachable: bool) -> bool:
         """Count a failure; return whether the server is ejected by it."""
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -6,11 +6,12 @@
 from asyncio import get_running_loop
 from asyncio import timeout_at
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Sequence
 
+from azurewick.entry.admission import ArrivalRates
+from azurewick.entry.admission import predict_wait_s
 from azurewick.entry.backends import Backend
-from azurewick.entry.line import Rank
+from azurewick.entry.line import Demand
 from azurewick.entry.line import Waiter
 from azurewick.entry.line import WaitingLine
 from azurewick.entry.placement import Placement
@@ -18,6 +19,12 @@
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
 
+# A request that is late on arrival came back after a refusal. It waits at
+# most this long: callers leave a silent stream after two seconds.
+LATE_WAIT_S = 0.5
+# A refused request comes back after this at the earliest.
+SHORTEST_RETURN_S = 0.2
+
 
 class Dispatcher:
     """Gives the servers of one service to requests in the line's order."""
@@ -32,48 +39,43 @@
         self._placement = placement
         self._clock = clock
         self._line: WaitingLine[Future[Backend]] = WaitingLine()
+        self._rates = ArrivalRates()
 
     @property
     def waiting(self) -> int:
         """Return the number of waiting requests."""
         return len(self._line)
 
-    async def async_acquire(
-        self,
-        *,
-        rank: Rank,
-        on_time_until_s: float,
-        waits_until_s: float,
-        excluded: Collection[str] = (),
-    ) -> Backend:
+    async def async_acquire(self, demand: Demand) -> Backend:
         """Return a server with a place taken; call release afterwards.
 
-        Raises AzurewickError with code overloaded when none gets free in
-        time.
+        Raises AzurewickError with code overloaded: at once when the request
+        would miss its target in the line, or later when it does so against
+        the prediction.
         """
         now_s = self._clock()
         loop = get_running_loop()
         waiter: Waiter[Future[Backend]] = Waiter(
             payload=loop.create_future(),
-            rank=rank,
+            demand=demand,
+            urgency=demand.urgency(now_s),
             arrived_s=now_s,
-            on_time_until_s=on_time_until_s,
-            waits_until_s=waits_until_s,
-            excluded=frozenset(excluded),
         )
+        budget_s = _wait_budget_s(demand, now_s)
+        wait_s = self._predict_wait_s(waiter.urgency, now_s)
+        self._rates.add(waiter.urgency, demand.work.total_s, now_s)
+        if wait_s > budget_s:
+            raise _refuse("line is too long", wait_s)
         self._line.add(waiter)
         self.fill()
         try:
-            async with timeout_at(
-                loop.time() + max(0.0, waits_until_s - now_s)
-            ):
+            async with timeout_at(loop.time() + budget_s):
                 return await waiter.payload
         except TimeoutError as err:
             self._return_unused(waiter)
-            raise AzurewickError(
-                ErrorCode.OVERLOADED,
+            raise _refuse(
                 "no backend server became free in time",
-                step=Step.QUEUE,
+                self._predict_wait_s(waiter.urgency, self._clock()),
             ) from err
         except BaseException:
             self._return_unused(waiter)
@@ -92,19 +94,41 @@
             return
         now_s = self._clock()
         candidates = self._candidates()
-        for waiter in self._line.in_order(now_s):
-            backend = self._placement.choose(
-                candidates, waiter.excluded, now_s
-            )
+        for waiter in self._line.in_order():
+            backend = self._placement.choose(candidates, waiter.demand, now_s)
             if backend is None:
-                if not waiter.excluded:
+                if not waiter.demand.excluded:
                     return
                 continue
             backend.in_flight += 1
             self._line.remove(waiter)
             waiter.payload.set_result(backend)
 
+    def _predict_wait_s(self, urgency: float, now_s: float) -> float:
+        return predict_wait_s(
+            self._line.work_ahead_s(urgency),
+            self._placement.capacity(self._candidates(), now_s),
+            self._rates.above(urgency, now_s),
+        )
+
     def _return_unused(self, waiter: Waiter[Future[Backend]]) -> None:
         future = waiter.payload
         if future.done() and not future.cancelled():
             self.release(future.result())
+
+
+def _wait_budget_s(demand: Demand, now_s: float) -> float:
+    """Return how long a request may wait."""
+    left_s = max(0.0, demand.ends_s - now_s)
+    if demand.is_on_time(now_s):
+        return min(left_s, demand.target_s - demand.work.first_s - now_s)
+    return min(left_s, LATE_WAIT_S)
+
+
+def _refuse(message: str, wait_s: float) -> AzurewickError:
+    return AzurewickError(
+        ErrorCode.OVERLOADED,
+        message,
+        step=Step.QUEUE,
+        retry_after_s=max(SHORTEST_RETURN_S, wait_s),
+    )
--- a/azurewick/entry/events.py
+++ b/azurewick/entry/events.py
@@ -9,11 +9,13 @@
 class EventSplitter:
     """Cuts a stream of server-sent events at the ends of its events.
 
-    last_event_id is the id of the last whole event.
+    last_event_id is the id of the last whole event, and events the number
+    of whole events.
     """
 
     def __init__(self) -> None:
         self.last_event_id: str | None = None
+        self.events = 0
         self._rest = b""
 
     @property
@@ -30,6 +32,7 @@
             return b""
         whole = data[: end + len(_EVENT_END)]
         self._rest = data[end + len(_EVENT_END) :]
+        self.events += whole.count(_EVENT_END)
         start = max(
             0 if whole.startswith(_ID_FIELD) else -1,
             whole.rfind(b"\n" + _ID_FIELD) + 1,
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -16,12 +16,17 @@
 from azurewick.entry.backends import Backend
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.events import EventSplitter
+from azurewick.entry.line import Demand
 from azurewick.entry.line import Rank
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendCall
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import Route
+from azurewick.entry.patience import CallerPatience
 from azurewick.entry.protocols import WireProtocol
+from azurewick.entry.work import measure_work
+from azurewick.entry.work import NOMINAL_PLAIN_S
+from azurewick.entry.work import WorkEstimator
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Outcome
@@ -33,10 +38,6 @@
 MAX_REJECTIONS = 2
 # Shortest time that a dispatch is worth: a connection and a small answer.
 MIN_DISPATCH_S = 0.05
-# Longest wait in line, as a multiple of the route's target.
-LONGEST_WAIT_TARGETS = 1.5
-# Part of the target that the backend server itself needs.
-SERVER_TARGET_SHARE = 0.5
 # A repeatable request goes to another server when the first one is silent
 # for this multiple of the target.
 SILENCE_TARGETS = 1.2
@@ -48,6 +49,7 @@
 # gets the first byte, so that a torn answer can be repeated.
 WHOLE_ANSWER_BYTES = 262_144
 READ_BYTES = 65_536
+OUTCOME_UNFINISHED = "unfinished"
 # A refused caller comes back after a part of this time.
 RETRY_AFTER_S = 1.0
 
@@ -62,11 +64,26 @@
         """Send a part of the body."""
 
 
+@dataclass(kw_only=True, slots=True)
+class AttemptTrace:
+    """What the log says about one dispatch.
+
+    load is the number of this instance's requests at the server, this one
+    included. sent_s and first_byte_s count from the request's receipt.
+    """
+
+    server: str
+    load: int
+    sent_s: float
+    first_byte_s: float | None = None
+    outcome: str = ""
+
+
 @dataclass(kw_only=True, slots=True)
 class ExchangeTrace:
     """What the log says about an exchange."""
 
-    attempts: list[str] = field(default_factory=list)
+    attempts: list[AttemptTrace] = field(default_factory=list)
     waited_s: float = 0.0
     status: int = 0
     bytes_sent: int = 0
@@ -92,6 +109,9 @@
     protocol: WireProtocol
     dispatcher: Dispatcher
     retries: RetryBudget
+    work: WorkEstimator
+    patience: CallerPatience
+    tokens_per_event: Callable[[], int]
     clock: Callable[[], float]
 
 
@@ -123,6 +143,9 @@
         self._head_sent = False
         self._last_event_id: str | None = request.last_event_id
         self._started_s = request.received_s
+        self._first_sent_s = request.received_s - parts.patience.age_s(
+            route, request
+        )
         limits = [
             limit
             for limit in (request.deadline_s, route.timeout_s)
@@ -168,19 +191,15 @@
 
     async def _async_acquire(self) -> Backend:
         now_s = self._parts.clock()
-        target_s = self._route.target_s
-        on_time_until_s = self._started_s + target_s * (
-            1 - SERVER_TARGET_SHARE
-        )
-        waits_until_s = min(
-            self._ends_s - MIN_DISPATCH_S,
-            self._started_s + target_s * LONGEST_WAIT_TARGETS,
-        )
         backend = await self._parts.dispatcher.async_acquire(
-            rank=self._rank,
-            on_time_until_s=on_time_until_s,
-            waits_until_s=max(now_s, waits_until_s),
-            excluded=self._tried,
+            Demand(
+                rank=self._rank,
+                work=self._parts.work.estimate(self._route, self._request),
+                target_s=self._first_sent_s + self._route.target_s,
+                ends_s=self._ends_s - MIN_DISPATCH_S,
+                has_returned=self._first_sent_s < self._started_s,
+                excluded=frozenset(self._tried),
+            )
         )
         self.trace.waited_s += self._parts.clock() - now_s
         return backend
@@ -198,6 +217,13 @@
             time_left_s=self._ends_s - now_s,
             last_event_id=self._last_event_id,
         )
+        attempt = AttemptTrace(
+            server=backend.name,
+            load=backend.in_flight,
+            sent_s=now_s - self._started_s,
+            outcome=OUTCOME_UNFINISHED,
+        )
+        self.trace.attempts.append(attempt)
         response: ClientResponse | None = None
         try:
             async with asyncio.timeout(self._first_byte_timeout_s()):
@@ -207,11 +233,11 @@
             )
             self._check_head(backend, head)
             if self._route.is_stream and head.is_success:
-                await self._async_relay_stream(backend, response, head)
+                await self._async_relay_stream(backend, response, head, now_s)
             else:
                 await self._async_relay_whole(response, head)
             self._record_answer(backend, head, now_s)
-            self.trace.attempts.append(f"{backend.name}:{head.status}")
+            attempt.outcome = str(head.status)
         except AzurewickError as err:
             self._fail(backend, err)
         except TimeoutError as err:
@@ -245,7 +271,7 @@
                 self._parts.clock(),
                 is_unreachable=error.code is ErrorCode.BACKEND_UNREACHABLE,
             )
-        self.trace.attempts.append(f"{backend.name}:{error.code.value}")
+        self.trace.attempts[-1].outcome = error.code.value
         raise _AttemptFailedError(error) from cause
 
     def _check_head(self, backend: Backend, head: AnswerHead) -> None:
@@ -290,7 +316,11 @@
             connection.raise_if_reset()
 
     async def _async_relay_stream(
-        self, backend: Backend, response: ClientResponse, head: AnswerHead
+        self,
+        backend: Backend,
+        response: ClientResponse,
+        head: AnswerHead,
+        sent_s: float,
     ) -> None:
         """Pass the events on as they arrive, whole events only."""
         connection = watch_connection(response)
@@ -298,8 +328,6 @@
         if not self._route.is_resumable:
             await self._async_start(head, head.content_length)
         first = True
-        gap_started_s = self._parts.clock()
-        events = 0
         while True:
             async with asyncio.timeout(self._event_timeout_s(first)):
                 data = await response.content.readany()
@@ -307,12 +335,11 @@
                 break
             first = False
             if not self._route.is_resumable:
-                events += 1
+                splitter.feed(data)
                 await self._async_write(data)
                 continue
             whole = splitter.feed(data)
             if whole:
-                events += 1
                 await self._async_start(head, head.content_length)
                 await self._async_write(whole)
                 self._last_event_id = splitter.last_event_id
@@ -320,10 +347,7 @@
         if self._route.is_resumable:
             await self._async_start(head, head.content_length)
             await self._async_write(splitter.rest)
-        if events > 1:
-            backend.record_success(
-                (self._parts.clock() - gap_started_s) / events
-            )
+        self._learn(backend, sent_s, splitter.events)
 
     async def _async_start(self, head: AnswerHead, length: int | None) -> None:
         if self._head_sent:
@@ -334,16 +358,31 @@
 
     async def _async_write(self, data: bytes) -> None:
         if data:
+            attempt = self.trace.attempts[-1]
+            if attempt.first_byte_s is None:
+                attempt.first_byte_s = self._parts.clock() - self._started_s
             self.trace.bytes_sent += len(data)
             await self._writer.async_write(data)
 
+    def _learn(self, backend: Backend, sent_s: float, events: int) -> None:
+        """Learn the pace and the length from a complete stream."""
+        tokens = events * self._parts.tokens_per_event()
+        self._parts.work.learn(self._route, self._request, tokens)
+        backend.record_pace(
+            self._parts.clock() - sent_s,
+            measure_work(self._request, tokens).total_s,
+        )
+
     def _record_answer(
         self, backend: Backend, head: AnswerHead, sent_s: float
     ) -> None:
+        now_s = self._parts.clock()
         if head.status >= 500:
-            backend.record_failure(self._parts.clock(), is_unreachable=False)
-        elif not self._route.is_stream:
-            backend.record_success(self._parts.clock() - sent_s)
+            backend.record_failure(now_s, is_unreachable=False)
+            return
+        backend.record_success()
+        if not self._route.is_stream:
+            backend.record_pace(now_s - sent_s, NOMINAL_PLAIN_S)
 
     def _first_byte_timeout_s(self) -> float | None:
         if self._route.is_stream:
--- a/azurewick/entry/handler.py
+++ b/azurewick/entry/handler.py
@@ -17,13 +17,16 @@
 from azurewick.const import HEADER_RETRY_AFTER
 from azurewick.entry.context import EntryContext
 from azurewick.entry.drain import Drain
+from azurewick.entry.exchange import AttemptTrace
 from azurewick.entry.exchange import BrokenAnswerError
 from azurewick.entry.exchange import Exchange
 from azurewick.entry.exchange import ExchangeTrace
 from azurewick.entry.metrics import EntryMetrics
 from azurewick.entry.models import AnswerHead
+from azurewick.entry.models import CallerRequest
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.quota import QuotaLimiter
+from azurewick.entry.retry_after import spread_retry_s
 from azurewick.entry.services import ServicePools
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -32,9 +35,6 @@
 
 _LOGGER = getLogger(__name__)
 
-# Callers that are refused together return spread over this multiple of the
-# time that each was told.
-RETRY_SPREAD = 1.5
 CODE_OK = "ok"
 CODE_BROKEN = "broken"
 CODE_CALLER_LEFT = "caller_left"
@@ -128,7 +128,7 @@
             self._record(context, trace, CODE_OK)
             return writer.response
         except AzurewickError as err:
-            response = self._build_refusal(err)
+            response = self._build_refusal(err, request)
             self._return_quota(context, err)
             trace.status = response.status
             self._record(context, trace, err.code.value, err)
@@ -164,13 +164,23 @@
             assert context.customer is not None
             self._limiter.give_back(context.customer, context.request)
 
-    def _build_refusal(self, error: AzurewickError) -> Response:
-        response = json_response(error.as_body(), status=error.http_status)
+    def _build_refusal(
+        self, error: AzurewickError, request: CallerRequest
+    ) -> Response:
+        headers: dict[str, str] = {}
+        body = error.as_body()
         if error.retry_after_s is not None:
-            retry_after_s = error.retry_after_s * self._random.uniform(
-                1.0, RETRY_SPREAD
+            retry_after_s = round(
+                spread_retry_s(
+                    error.retry_after_s, request.deadline_s, self._random
+                ),
+                3,
             )
-            response.headers[HEADER_RETRY_AFTER] = f"{retry_after_s:.3f}"
+            body["error"]["retry_after_s"] = retry_after_s
+            headers[HEADER_RETRY_AFTER] = str(retry_after_s)
+        response = json_response(
+            body, status=error.http_status, headers=headers
+        )
         if self._drain.is_active or error.code in (
             ErrorCode.BODY_TOO_LARGE,
             ErrorCode.REQUEST_TIMEOUT,
@@ -202,7 +212,7 @@
                 "rank": context.rank,
                 "outcome": code,
                 "status": trace.status,
-                "attempts": trace.attempts,
+                "attempts": [_describe(one) for one in trace.attempts],
                 "waited_s": round(trace.waited_s, 4),
                 "took_s": round(took_s, 4),
                 "bytes_sent": trace.bytes_sent,
@@ -214,6 +224,19 @@
         )
 
 
+def _describe(attempt: AttemptTrace) -> dict[str, object]:
+    first_byte_s = attempt.first_byte_s
+    return {
+        "server": attempt.server,
+        "load": attempt.load,
+        "sent_s": round(attempt.sent_s, 4),
+        "first_byte_s": (
+            None if first_byte_s is None else round(first_byte_s, 4)
+        ),
+        "outcome": attempt.outcome,
+    }
+
+
 def _abort(http: BaseRequest) -> NoReturn:
     """Close a connection so that the caller sees a broken answer.
 
--- a/azurewick/entry/instances.py
+++ b/azurewick/entry/instances.py
@@ -8,6 +8,7 @@
 from logging import getLogger
 from random import Random
 
+from azurewick.entry.placement import InstanceShare
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.helpers.clock import monotonic_s
@@ -62,7 +63,7 @@
         store: StatusStore,
         name: str,
         random: Random,
-        on_share: Callable[[float], None],
+        on_share: Callable[[InstanceShare], None],
     ) -> None:
         self._store = store
         self._name = name
@@ -122,7 +123,9 @@
         if live != self._live:
             _LOGGER.info("entry instances changed", extra={"live": live})
             self._live = live
-        self._on_share(1.0 / len(live))
+        self._on_share(
+            InstanceShare(index=live.index(self._name), count=len(live))
+        )
 
     def _object(self) -> StoredObject:
         return StoredObject(
--- a/azurewick/entry/line.py
+++ b/azurewick/entry/line.py
@@ -7,39 +7,70 @@
 from typing import Generic
 from typing import TypeVar
 
+from azurewick.entry.work import WorkEstimate
+
 _Payload = TypeVar("_Payload")
 
-# Tier of the customer, then that of the route; the lowest goes first.
+# Tier of the customer and that of the route; 0 is the highest.
 Rank = tuple[int, int]
 
+# Value of a tier against that of the next lower one.
+CUSTOMER_TIER_FACTOR = 6.0
+ROUTE_TIER_FACTOR = 4.0
+# Value of an answer after its target, against one in time.
+LATE_FACTOR = 0.3
+# Same for a caller that was refused before: a second refusal would end its
+# request.
+RETURNED_FACTOR = 0.6
 
-@dataclass(eq=False, kw_only=True, slots=True)
-class Waiter(Generic[_Payload]):
-    """Request that waits for a backend server.
 
-    on_time_until_s is the latest dispatch at which the target can still be
-    met, and waits_until_s the time at which it is refused.
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Demand:
+    """What a request needs from a backend server.
+
+    target_s is the time at which its target is missed and ends_s the time
+    at which its caller leaves. has_returned says that the caller was
+    refused before.
     """
 
-    payload: _Payload
     rank: Rank
-    arrived_s: float
-    on_time_until_s: float
-    waits_until_s: float
+    work: WorkEstimate
+    target_s: float
+    ends_s: float
+    has_returned: bool = False
     excluded: frozenset[str] = field(default=frozenset())
 
     def is_on_time(self, now_s: float) -> bool:
         """Return whether the target can still be met."""
-        return now_s <= self.on_time_until_s
+        return now_s + self.work.first_s <= self.target_s
 
+    def urgency(self, now_s: float) -> float:
+        """Return the value of the request for each second of work.
 
-class WaitingLine(Generic[_Payload]):
-    """Requests that wait for a server, the most urgent one first.
+        Serving by value over work, Smith's rule, earns most under overload.
+        A strict order of the tiers would starve short requests of a low
+        tier for the sake of long ones just above.
+        """
+        customer_tier, route_tier = self.rank
+        value = CUSTOMER_TIER_FACTOR**-customer_tier
+        value *= ROUTE_TIER_FACTOR**-route_tier
+        if not self.is_on_time(now_s):
+            value *= RETURNED_FACTOR if self.has_returned else LATE_FACTOR
+        return value / self.work.total_s
 
-    Requests that can still meet their target go before late ones: a queue
-    that serves the oldest first answers everything just too late after a
-    burst. Lower ranks go first within both groups.
-    """
+
+@dataclass(eq=False, kw_only=True, slots=True)
+class Waiter(Generic[_Payload]):
+    """Request that waits for a backend server."""
+
+    payload: _Payload
+    demand: Demand
+    urgency: float
+    arrived_s: float
+
+
+class WaitingLine(Generic[_Payload]):
+    """Requests that wait for a server, the most urgent one first."""
 
     def __init__(self) -> None:
         self._waiters: set[Waiter[_Payload]] = set()
@@ -55,13 +86,17 @@
         """Remove a waiter that may have left already."""
         self._waiters.discard(waiter)
 
-    def in_order(self, now_s: float) -> list[Waiter[_Payload]]:
+    def work_ahead_s(self, urgency: float) -> float:
+        """Return the work of the waiters that go before a new one."""
+        return sum(
+            waiter.demand.work.total_s
+            for waiter in self._waiters
+            if waiter.urgency >= urgency
+        )
+
+    def in_order(self) -> list[Waiter[_Payload]]:
         """Return the waiters, the next one to dispatch first."""
         return sorted(
             self._waiters,
-            key=lambda waiter: (
-                not waiter.is_on_time(now_s),
-                waiter.rank,
-                waiter.arrived_s,
-            ),
+            key=lambda waiter: (-waiter.urgency, waiter.arrived_s),
         )
--- a/azurewick/entry/models.py
+++ b/azurewick/entry/models.py
@@ -130,6 +130,7 @@
 class BackendEntry:
     """Backend server as the platform lists it.
 
+    is_engine says that it runs a model in batches of its slots.
     started_ms is the time of its start in milliseconds since the epoch; a
     server may start again under the name that it had.
     """
@@ -141,6 +142,7 @@
     version: str
     slots: int
     is_draining: bool = False
+    is_engine: bool = False
     started_ms: int = 0
 
 
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -2,26 +2,58 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
+from dataclasses import dataclass
 from random import Random
 from typing import Protocol
+from zlib import crc32
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.line import Demand
 
-# Share until the number of instances is known.
-INITIAL_SHARE = 0.25
-# Part of a server's places by which an instance may exceed its share: the
-# callers spread unevenly over the instances.
-SHARE_MARGIN = 1.25
+# Plain services queue a few requests beyond their slots, which costs less
+# than a refusal.
+PLAIN_SHARE_MARGIN = 2.0
 # Load that a server in another region must be below one in this region to
 # get the request; the link between regions is narrow and billed by volume.
 REGION_PENALTY = 0.35
 # Same for another failure domain of the region.
 DOMAIN_PENALTY = 0.05
-# A server's time counts as at most this many times the mean.
-SLOWEST_FACTOR = 6.0
+# Part of the time left that the expected run may take; lengths are often
+# underestimated.
+RUN_TIME_SHARE = 0.7
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceShare:
+    """Place of this instance among all entry instances.
+
+    index counts from 0 in the order of the names.
+    """
+
+    index: int
+    count: int
+
+    @property
+    def fraction(self) -> float:
+        """Return this instance's part of what all use together."""
+        return 1.0 / self.count
+
+    def places(self, total: int, key: str) -> int:
+        """Return this instance's part of a number of places.
+
+        The parts of all instances add up to the total; which instances get
+        one place more depends on the key.
+        """
+        whole, rest = divmod(total, self.count)
+        turn = (self.index + crc32(key.encode())) % self.count
+        return whole + (turn < rest)
+
+
+# The platform runs at least this many instances; it holds until the others
+# are known.
+INITIAL_SHARE = InstanceShare(index=0, count=4)
 
 
 class Placement(Protocol):
@@ -30,18 +62,21 @@
     def choose(
         self,
         candidates: Sequence[Backend],
-        excluded: Collection[str],
+        demand: Demand,
         now_s: float,
     ) -> Backend | None:
         """Return a server with a free place, or None."""
 
+    def capacity(self, candidates: Sequence[Backend], now_s: float) -> float:
+        """Return the nominal work a second that this instance may place."""
+
 
 class LeastLoadPlacement:
     """Places at the server with the least load for its speed.
 
-    share is the part of each server's places that this instance may use.
     Entry instances don't see each other's requests, so each keeps to its
-    share of the places.
+    share of a server's places. Engines admit requests in the order of
+    arrival: beyond their slots, urgent requests would wait behind others.
     """
 
     def __init__(
@@ -50,7 +85,7 @@
         failure_domain: str,
         regions: Mapping[str, str],
         random: Random,
-        share: float = INITIAL_SHARE,
+        share: InstanceShare = INITIAL_SHARE,
     ) -> None:
         self.share = share
         self._failure_domain = failure_domain
@@ -60,42 +95,56 @@
 
     def limit(self, backend: Backend) -> int:
         """Return how many requests this instance may have at a server."""
-        return max(1, round(backend.entry.slots * self.share * SHARE_MARGIN))
+        entry = backend.entry
+        total = entry.slots
+        if not backend.is_engine:
+            total = round(total * PLAIN_SHARE_MARGIN)
+        return self.share.places(total, entry.name)
+
+    def capacity(self, candidates: Sequence[Backend], now_s: float) -> float:
+        """Return the nominal work a second that this instance may place."""
+        return sum(
+            self.limit(backend) / backend.pace
+            for backend in candidates
+            if backend.is_available(now_s)
+        )
 
     def choose(
         self,
         candidates: Sequence[Backend],
-        excluded: Collection[str],
+        demand: Demand,
         now_s: float,
     ) -> Backend | None:
-        """Return a server with a free place, or None."""
+        """Return a server with a free place, or None.
+
+        Servers that can meet the target go first, then those that can end
+        the answer before the caller leaves.
+        """
         free = [
             backend
             for backend in candidates
             if backend.is_available(now_s)
-            and backend.name not in excluded
+            and backend.name not in demand.excluded
             and backend.in_flight < self.limit(backend)
         ]
         if not free:
             return None
-        mean_s = _mean_answer_s(candidates)
+        mean_pace = sum(one.pace for one in candidates) / len(candidates)
         return min(
             free,
             key=lambda backend: (
-                self._cost(backend, mean_s),
+                _is_late(backend, demand, now_s),
+                _is_cut(backend, demand, now_s),
+                self._cost(backend, mean_pace),
                 self._random.random(),
             ),
         )
 
-    def _cost(self, backend: Backend, mean_s: float) -> float:
+    def _cost(self, backend: Backend, mean_pace: float) -> float:
         load = (backend.in_flight + 1) / self.limit(backend)
-        factor = 1.0
-        if backend.answer_s is not None and mean_s > 0:
-            factor = min(
-                SLOWEST_FACTOR,
-                max(1 / SLOWEST_FACTOR, backend.answer_s / mean_s),
-            )
-        return load * factor + self._distance(backend.entry.failure_domain)
+        return load * backend.pace / mean_pace + self._distance(
+            backend.entry.failure_domain
+        )
 
     def _distance(self, failure_domain: str) -> float:
         if failure_domain == self._failure_domain:
@@ -105,6 +154,13 @@
         return REGION_PENALTY
 
 
-def _mean_answer_s(candidates: Sequence[Backend]) -> float:
-    known = [one.answer_s for one in candidates if one.answer_s is not None]
-    return sum(known) / len(known) if known else 0.0
+def _is_late(backend: Backend, demand: Demand, now_s: float) -> bool:
+    """Return whether a server would miss a target that others may meet."""
+    first_s = demand.work.first_s * backend.pace
+    return now_s + first_s > demand.target_s
+
+
+def _is_cut(backend: Backend, demand: Demand, now_s: float) -> bool:
+    """Return whether the answer would hardly end in time."""
+    total_s = demand.work.total_s * backend.pace
+    return total_s > RUN_TIME_SHARE * (demand.ends_s - now_s)
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -6,6 +6,7 @@
 
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import CustomerQuota
+from azurewick.entry.placement import INITIAL_SHARE
 
 
 @dataclass(slots=True)
@@ -16,8 +17,6 @@
     burst: float
 
 
-# Share until the number of instances is known.
-INITIAL_SHARE = 0.25
 # Part of the tolerated overrun that instances use together. The rest covers
 # instances that have just started and those that count each other late.
 OVERRUN_SAFETY = 0.8
@@ -46,7 +45,7 @@
     """
 
     def __init__(
-        self, tolerance: QuotaTolerance, share: float = INITIAL_SHARE
+        self, tolerance: QuotaTolerance, share: float = INITIAL_SHARE.fraction
     ) -> None:
         self.share = share
         self._tolerance = tolerance
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -13,10 +13,12 @@
 from azurewick.entry.exchange import ExchangeParts
 from azurewick.entry.models import MoveState
 from azurewick.entry.models import Route
+from azurewick.entry.patience import CallerPatience
 from azurewick.entry.placement import LeastLoadPlacement
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.state import FleetState
+from azurewick.entry.work import WorkEstimator
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
@@ -45,6 +47,8 @@
         self._protocol = protocol
         self._clock = clock
         self._random = random
+        self._work = WorkEstimator()
+        self._patience = CallerPatience()
         self._parts: dict[str, ExchangeParts] = {}
         self.placement = LeastLoadPlacement(
             failure_domain=settings.failure_domain,
@@ -102,12 +106,22 @@
                 allowance=int(
                     settings.retry_allowance
                     * RETRY_SAFETY
-                    * self.placement.share
+                    * self.placement.share.fraction
                 ),
             ),
+            work=self._work,
+            patience=self._patience,
+            tokens_per_event=partial(self._tokens_per_event, service),
             clock=self._clock,
         )
 
+    def _tokens_per_event(self, service: str) -> int:
+        configuration = self._state.configuration
+        known = configuration and configuration.services.get(service)
+        if not known or known.engine is None:
+            return 1
+        return known.engine.tokens_per_event
+
     def _candidates(self, service: str) -> list[Backend]:
         servers = self._state.servers_of(service)
         move = self._state.moves.get(service)
--- /dev/null
+++ b/azurewick/entry/work.py
@@ -0,0 +1,72 @@
+"""Estimates of the work of requests and of the pace of servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from azurewick.entry.models import CallerRequest
+from azurewick.entry.models import Route
+
+# Nominal engine: time to the first token of an empty prompt, to read one
+# prompt token and to make one output token in a full batch. Each server's
+# pace is learned against it, so that only their proportions matter.
+NOMINAL_FIRST_S = 0.06
+NOMINAL_PREFILL_S = 0.000008
+NOMINAL_OUTPUT_S = 0.0042
+# Work of a request to a plain service.
+NOMINAL_PLAIN_S = 0.045
+# Weight of the newest answer in the learned output lengths.
+LENGTH_WEIGHT = 0.05
+# Part of the maximum that an answer takes until lengths are learned.
+DEFAULT_LENGTH_SHARE = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkEstimate:
+    """Work of a request in seconds of the nominal engine.
+
+    first_s is the part until the first output token.
+    """
+
+    first_s: float
+    total_s: float
+
+
+class WorkEstimator:
+    """Estimates work from prompt and expected output, learned by route."""
+
+    def __init__(self) -> None:
+        # Mean of output tokens over the announced maximum, by route.
+        self._length_shares: dict[str, float] = {}
+
+    def estimate(self, route: Route, request: CallerRequest) -> WorkEstimate:
+        """Return the work of a request."""
+        if not route.has_prompt:
+            return WorkEstimate(
+                first_s=NOMINAL_PLAIN_S, total_s=NOMINAL_PLAIN_S
+            )
+        output = request.expected_output_tokens
+        if output is None:
+            share = self._length_shares.get(route.name, DEFAULT_LENGTH_SHARE)
+            output = round(request.output_tokens * share)
+        return measure_work(request, output)
+
+    def learn(
+        self, route: Route, request: CallerRequest, output_tokens: int
+    ) -> None:
+        """Take the length of a complete answer."""
+        if not request.output_tokens:
+            return
+        share = min(1.0, output_tokens / request.output_tokens)
+        known = self._length_shares.get(route.name, DEFAULT_LENGTH_SHARE)
+        self._length_shares[route.name] = known + LENGTH_WEIGHT * (
+            share - known
+        )
+
+
+def measure_work(request: CallerRequest, output_tokens: int) -> WorkEstimate:
+    """Return the work of a request with a known length of its answer."""
+    first_s = NOMINAL_FIRST_S + (request.input_tokens or 0) * NOMINAL_PREFILL_S
+    return WorkEstimate(
+        first_s=first_s, total_s=first_s + output_tokens * NOMINAL_OUTPUT_S
+    )
--- a/azurewick/platform/documents.py
+++ b/azurewick/platform/documents.py
@@ -134,6 +134,8 @@
     version: str
     slots: int = Field(ge=1)
     state: Literal["ready", "draining"]
+    # Set on model engines only.
+    phase: str | None = None
     # Time of the start, in milliseconds since the epoch.
     born: int = 0
 
@@ -189,6 +191,7 @@
         version=wire.version,
         slots=wire.slots,
         is_draining=wire.state == STATE_DRAINING,
+        is_engine=wire.phase is not None,
         started_ms=wire.born,
     )
 
