--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -45,6 +45,8 @@
 _LOGGER = getLogger(__name__)
 
 MAX_FIELD_BYTES = 16_384
+# Time for the handlers to end when the servers close.
+CLOSE_TIMEOUT_S = 0.2
 # Connections that send no request for this long are closed.
 FIRST_REQUEST_TIMEOUT_S = 15.0
 
@@ -92,7 +94,9 @@
             filters=FilterChain(
                 (
                     RouteFilter(self.state),
-                    DrainFilter(self._drain, monotonic_s),
+                    DrainFilter(
+                        self._drain, self._pools.expect_run_s, monotonic_s
+                    ),
                     CustomerFilter(),
                     BodyFilter(),
                     QuotaFilter(limiter, monotonic_s),
@@ -150,10 +154,11 @@
 
     async def async_stop(self) -> None:
         """Close the servers and stop the controllers."""
-        await self._directory.async_stop()
-        for runner in self._runners:
-            await runner.cleanup()
-        await self._watches.async_stop()
+        await asyncio.gather(
+            self._directory.async_stop(),
+            self._watches.async_stop(),
+            *(runner.cleanup() for runner in self._runners),
+        )
         await self._client.async_stop()
         await self.metrics.async_stop()
         _LOGGER.info(
@@ -169,7 +174,7 @@
         return json_response({"ready": ready}, status=200 if ready else 503)
 
     async def _async_listen(self, server: Server, address: str) -> None:
-        runner = ServerRunner(server, shutdown_timeout=0.2)
+        runner = ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
         await runner.setup()
         host, port = split_address(address)
         await TCPSite(runner, host, port, backlog=1024).start()
--- a/azurewick/entry/drain.py
+++ b/azurewick/entry/drain.py
@@ -4,12 +4,12 @@
 
 # The balancer stops to send after two missed checks, one a second.
 NOTICE_S = 2.6
-# A stream that starts later might not end before the stop.
-LAST_STREAM_S = 2.9
-# Time before the platform's kill at which the process ends by itself.
-KILL_MARGIN_S = 0.7
-# A plain request needs less than this.
-PLAIN_REQUEST_S = 1.0
+# Time before the platform's kill at which the process ends by itself: the
+# servers are closed and this instance's entry is removed.
+KILL_MARGIN_S = 1.0
+# Requests take up to this multiple of the expected time, and this much more.
+RUN_MARGIN_FACTOR = 1.5
+RUN_MARGIN_S = 0.3
 
 
 class Drain:
@@ -38,10 +38,13 @@
         assert self._started_s is not None
         return self._started_s + self._grace_s - KILL_MARGIN_S
 
-    def takes(self, now_s: float, *, is_stream: bool) -> bool:
-        """Return whether a request that comes now can still end."""
+    def takes(self, now_s: float, expected_run_s: float) -> bool:
+        """Return whether a request that comes now can still end.
+
+        The balancer goes on sending to a draining instance when no other
+        one of its failure domain is ready.
+        """
         if self._started_s is None:
             return True
-        if is_stream:
-            return now_s < self._started_s + LAST_STREAM_S
-        return now_s < self.stops_s() - PLAIN_REQUEST_S
+        run_s = expected_run_s * RUN_MARGIN_FACTOR + RUN_MARGIN_S
+        return now_s + run_s < self.stops_s()
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -10,6 +10,8 @@
 
 from azurewick.entry.context import EntryContext
 from azurewick.entry.drain import Drain
+from azurewick.entry.models import CallerRequest
+from azurewick.entry.models import Route
 from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.state import FleetState
 from azurewick.errors import AzurewickError
@@ -57,20 +59,23 @@
 
 
 class DrainFilter:
-    """Refuses streams that can't end before a draining instance stops.
+    """Refuses requests that can't end before a draining instance stops."""
 
-    Plain requests are short and are served to the end.
-    """
-
-    def __init__(self, drain: Drain, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        drain: Drain,
+        expect_run_s: Callable[[Route, CallerRequest], float],
+        clock: Callable[[], float],
+    ) -> None:
         self._drain = drain
+        self._expect_run_s = expect_run_s
         self._clock = clock
 
     async def async_apply(self, context: EntryContext) -> None:
-        """Refuse a stream that comes late in the drain."""
-        route = context.route
-        assert route is not None
-        if self._drain.takes(self._clock(), is_stream=route.is_stream):
+        """Refuse a request that comes too late in the drain."""
+        assert context.route is not None
+        run_s = self._expect_run_s(context.route, context.request)
+        if self._drain.takes(self._clock(), run_s):
             return
         raise AzurewickError(
             ErrorCode.DRAINING,
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -11,6 +11,7 @@
 from azurewick.entry.backends import Backend
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.exchange import ExchangeParts
+from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import MoveState
 from azurewick.entry.models import Route
 from azurewick.entry.patience import CallerPatience
@@ -85,6 +86,16 @@
                 return one.name
         return route.services[-1].name
 
+    def expect_run_s(self, route: Route, request: CallerRequest) -> float:
+        """Return how long a request is expected to run at a server."""
+        paces = [
+            backend.pace
+            for service in route.services
+            for backend in self._candidates(service.name)
+        ]
+        pace = max(paces, default=1.0)
+        return self._work.estimate(route, request).total_s * pace
+
     def fill(self) -> None:
         """Give free places to waiting requests."""
         for parts in self._parts.values():
