Let entry instances tell each other what they use

Now each instance sends its requests in flight and its use of the quotas to its peers in datagrams; a silent peer counts with its share.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from logging import getLogger
 from random import Random
 from typing import Any
@@ -23,10 +24,12 @@
 from azurewick.entry.filters import DrainFilter
 from azurewick.entry.filters import QuotaFilter
 from azurewick.entry.filters import RouteFilter
+from azurewick.entry.gossip import PeerGossip
 from azurewick.entry.handler import EntryHandler
 from azurewick.entry.instances import InstanceDirectory
 from azurewick.entry.metrics import EntryMetrics
-from azurewick.entry.placement import InstanceShare
+from azurewick.entry.peers import PeerReport
+from azurewick.entry.peers import PeerView
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.quota import QuotaTolerance
@@ -70,11 +73,14 @@
         self._client = BackendClient(protocol)
         self._drain = Drain(settings.grace_s)
         self._watches = FleetWatches(store, kinds, self.state, random)
+        self._peers = PeerView(settings.name)
+        self._incarnation = random.getrandbits(48)
         self._pools = ServicePools(
             settings=settings,
             state=self.state,
             client=self._client,
             protocol=protocol,
+            peers=self._peers,
             clock=monotonic_s,
             random=random,
         )
@@ -83,10 +89,18 @@
                 window_s=settings.quota_window_s,
                 overage=settings.quota_overage,
                 allowance=settings.quota_allowance,
-            )
+            ),
+            self._peers.shared_fraction,
+        )
+        self._gossip = PeerGossip(
+            settings.peer_address, self._build_report, self._take_report
         )
         self._directory = InstanceDirectory(
-            store, settings.name, random, self._set_share
+            store,
+            settings.name,
+            settings.peer_address,
+            random,
+            self._set_peers,
         )
         self._limiter = limiter
         self.handler = EntryHandler(
@@ -116,6 +130,7 @@
         settings = self.settings
         await self._client.async_start()
         self._watches.start()
+        await self._gossip.async_start()
         self._directory.start()
         await self.metrics.async_start(settings.metrics_address)
         await self._async_listen(
@@ -159,15 +174,37 @@
             self._watches.async_stop(),
             *(runner.cleanup() for runner in self._runners),
         )
+        await self._gossip.async_stop()
         await self._client.async_stop()
         await self.metrics.async_stop()
         _LOGGER.info(
             "entry instance stopped", extra={"instance": self.settings.name}
         )
 
-    def _set_share(self, share: InstanceShare) -> None:
-        self._limiter.share = share.fraction
-        self._pools.placement.share = share
+    def _set_peers(self, addresses: Mapping[str, str]) -> None:
+        self._peers.set_members(addresses)
+        self._gossip.set_peers(addresses)
+
+    def _build_report(self, sequence: int) -> PeerReport:
+        return PeerReport(
+            name=self.settings.name,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            work=self._peers.meter.per_s(monotonic_s()),
+            in_flight={
+                backend.name: backend.in_flight
+                for backend in self.state.registry
+                if backend.in_flight
+            },
+            quota_used=self._limiter.used(),
+        )
+
+    def _take_report(self, report: PeerReport) -> None:
+        before = self._peers.take(report, monotonic_s())
+        if before is None:
+            return
+        self._limiter.take_report(before.quota_used, report.quota_used)
+        self._pools.fill()
 
     async def _async_ready(self, request: BaseRequest) -> StreamResponse:
         ready = self.state.is_ready and not self._drain.is_active
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -14,6 +14,7 @@
 from azurewick.entry.line import Demand
 from azurewick.entry.line import Waiter
 from azurewick.entry.line import WaitingLine
+from azurewick.entry.peers import DemandMeter
 from azurewick.entry.placement import Placement
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -33,10 +34,12 @@
         self,
         candidates: Callable[[], Sequence[Backend]],
         placement: Placement,
+        meter: DemandMeter,
         clock: Callable[[], float],
     ) -> None:
         self._candidates = candidates
         self._placement = placement
+        self._meter = meter
         self._clock = clock
         self._line: WaitingLine[Future[Backend]] = WaitingLine()
         self._rates = ArrivalRates()
@@ -64,6 +67,7 @@
         budget_s = _wait_budget_s(demand, now_s)
         wait_s = self._predict_wait_s(waiter.urgency, now_s)
         self._rates.add(waiter.urgency, demand.work.total_s, now_s)
+        self._meter.add(demand.work.total_s, now_s)
         if wait_s > budget_s:
             raise _refuse("line is too long", wait_s)
         self._line.add(waiter)
--- /dev/null
+++ b/azurewick/entry/gossip.py
@@ -0,0 +1,161 @@
+"""Datagrams in which entry instances tell each other what they use."""
+
+from __future__ import annotations
+
+import asyncio
+from asyncio import DatagramProtocol
+from asyncio import DatagramTransport
+from asyncio import Task
+from collections.abc import Callable
+from collections.abc import Mapping
+from logging import getLogger
+from typing import Any
+
+import orjson
+
+from azurewick.entry.peers import PeerReport
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.helpers.address import split_address
+
+_LOGGER = getLogger(__name__)
+
+# Reports are this old at most; a longest interval below the silence limit
+# allows for three lost datagrams.
+SHORTEST_INTERVAL_S = 0.08
+LONGEST_INTERVAL_S = 0.3
+# The interval grows with the instances, so that each one's datagrams a
+# second don't.
+INTERVAL_PER_PEER_S = 0.012
+
+KEY_NAME = "n"
+KEY_INCARNATION = "i"
+KEY_SEQUENCE = "s"
+KEY_WORK = "w"
+KEY_IN_FLIGHT = "f"
+KEY_QUOTA = "q"
+
+
+def encode_report(report: PeerReport) -> bytes:
+    """Return the datagram of a report."""
+    return orjson.dumps(
+        {
+            KEY_NAME: report.name,
+            KEY_INCARNATION: report.incarnation,
+            KEY_SEQUENCE: report.sequence,
+            KEY_WORK: round(report.work, 2),
+            KEY_IN_FLIGHT: dict(report.in_flight),
+            KEY_QUOTA: {
+                name: round(used) for name, used in report.quota_used.items()
+            },
+        }
+    )
+
+
+def decode_report(data: bytes) -> PeerReport:
+    """Return the report in a datagram.
+
+    Raises AzurewickError with code invalid_request.
+    """
+    try:
+        body = orjson.loads(data)
+        return PeerReport(
+            name=_read_text(body, KEY_NAME),
+            incarnation=int(body[KEY_INCARNATION]),
+            sequence=int(body[KEY_SEQUENCE]),
+            work=float(body[KEY_WORK]),
+            in_flight=_read_counts(body[KEY_IN_FLIGHT]),
+            quota_used=_read_counts(body[KEY_QUOTA]),
+        )
+    except (KeyError, TypeError, ValueError) as err:
+        raise AzurewickError(
+            ErrorCode.INVALID_REQUEST,
+            f"datagram is no report: {err!r}",
+            step=Step.SYNC,
+        ) from err
+
+
+class PeerGossip(DatagramProtocol):
+    """Sends this instance's reports and receives those of the peers."""
+
+    def __init__(
+        self,
+        address: str,
+        build_report: Callable[[int], PeerReport],
+        on_report: Callable[[PeerReport], None],
+    ) -> None:
+        self._address = address
+        self._build_report = build_report
+        self._on_report = on_report
+        self._peers: dict[str, tuple[str, int]] = {}
+        self._transport: DatagramTransport | None = None
+        self._task: Task[None] | None = None
+        self._sequence = 0
+
+    async def async_start(self) -> None:
+        """Open the port and start to send."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=split_address(self._address)
+        )
+        self._task = asyncio.create_task(self._async_send())
+
+    async def async_stop(self) -> None:
+        """Close the port."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._transport is not None:
+            self._transport.close()
+
+    def set_peers(self, addresses: Mapping[str, str]) -> None:
+        """Take the addresses of the other instances by name."""
+        self._peers = {
+            name: split_address(address) for name, address in addresses.items()
+        }
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """Take a datagram of a known peer."""
+        try:
+            report = decode_report(data)
+        except AzurewickError as err:
+            _LOGGER.warning("datagram from %s ignored: %s", addr[0], err)
+            return
+        known = self._peers.get(report.name)
+        if known is not None and known[0] == addr[0]:
+            self._on_report(report)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a peer's port is closed; the peer counts as silent."""
+        _LOGGER.debug("datagram not delivered: %s", exc)
+
+    async def _async_send(self) -> None:
+        assert self._transport is not None
+        while True:
+            self._sequence += 1
+            data = encode_report(self._build_report(self._sequence))
+            for peer in self._peers.values():
+                self._transport.sendto(data, peer)
+            await asyncio.sleep(
+                min(
+                    LONGEST_INTERVAL_S,
+                    max(
+                        SHORTEST_INTERVAL_S,
+                        INTERVAL_PER_PEER_S * len(self._peers),
+                    ),
+                )
+            )
+
+
+def _read_text(body: Any, key: str) -> str:
+    value = body[key]
+    if not isinstance(value, str):
+        raise TypeError(f"{key} is no text")
+    return value
+
+
+def _read_counts(body: Any) -> dict[str, int]:
+    if not isinstance(body, dict):
+        raise TypeError("counts are no table")
+    return {name: int(count) for name, count in body.items()}
--- a/azurewick/entry/instances.py
+++ b/azurewick/entry/instances.py
@@ -5,10 +5,11 @@
 import asyncio
 from asyncio import Task
 from collections.abc import Callable
+from collections.abc import Mapping
 from logging import getLogger
 from random import Random
+from typing import Any
 
-from azurewick.entry.placement import InstanceShare
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.helpers.clock import monotonic_s
@@ -19,60 +20,67 @@
 
 KIND_INSTANCES = "azurewick-instances"
 ATTR_BEAT = "beat"
+ATTR_ADDRESS = "address"
 HEARTBEAT_INTERVAL_S = 3.0
-# Three missed heartbeats and the age of a stale list.
+# An instance that is cut off from the store still uses its shares, so the
+# others take them over late.
 DEAD_AFTER_S = 12.0
+# Time for the last call of a stopping instance.
+REMOVE_TIMEOUT_S = 0.3
 
 
 class InstanceTable:
-    """Instances by the time at which their heartbeat last changed."""
+    """Statuses of the instances and the times at which they last changed."""
 
     def __init__(self, own_name: str) -> None:
         self._own_name = own_name
-        self._beats: dict[str, tuple[object, float]] = {}
-
-    def update(self, items: dict[str, object], now_s: float) -> None:
-        """Take the heartbeats of all instances."""
-        beats: dict[str, tuple[object, float]] = {}
-        for name, beat in items.items():
-            known = self._beats.get(name)
-            if known is None or known[0] != beat:
-                known = (beat, now_s)
-            beats[name] = known
-        self._beats = beats
-
-    def live(self, now_s: float) -> list[str]:
-        """Return the names of the instances that are alive, ours too."""
-        names = {
-            name
-            for name, (_, changed_s) in self._beats.items()
-            if now_s - changed_s < DEAD_AFTER_S
+        self._known: dict[str, tuple[Mapping[str, Any], float]] = {}
+
+    def update(
+        self, statuses: Mapping[str, Mapping[str, Any]], now_s: float
+    ) -> None:
+        """Take the statuses of all instances."""
+        known: dict[str, tuple[Mapping[str, Any], float]] = {}
+        for name, status in statuses.items():
+            entry = self._known.get(name)
+            if entry is None or entry[0] != status:
+                entry = (status, now_s)
+            known[name] = entry
+        self._known = known
+
+    def live_peers(self, now_s: float) -> dict[str, str]:
+        """Return the addresses of the other live instances by name."""
+        return {
+            name: str(status.get(ATTR_ADDRESS, ""))
+            for name, (status, changed_s) in self._known.items()
+            if now_s - changed_s < DEAD_AFTER_S and name != self._own_name
         }
-        return sorted(names | {self._own_name})
 
 
 class InstanceDirectory:
-    """Registers this instance and counts the others.
+    """Registers this instance in the store and finds the others.
 
-    on_share gets this instance's share of what all instances use together.
-    An instance that can't read the store keeps the share that it had.
+    on_peers gets the addresses of the live peers by name. An instance that
+    can't read the store keeps the peers that it had.
     """
 
     def __init__(
         self,
         store: StatusStore,
         name: str,
+        address: str,
         random: Random,
-        on_share: Callable[[InstanceShare], None],
+        on_peers: Callable[[Mapping[str, str]], None],
     ) -> None:
         self._store = store
         self._name = name
+        self._address = address
         self._random = random
-        self._on_share = on_share
+        self._on_peers = on_peers
         self._table = InstanceTable(name)
         self._beat = random.getrandbits(31)
         self._task: Task[None] | None = None
-        self._live: list[str] = []
+        self._live: dict[str, str] | None = None
 
     def start(self) -> None:
         """Start to send heartbeats."""
@@ -85,7 +93,7 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         try:
-            async with asyncio.timeout(0.3):
+            async with asyncio.timeout(REMOVE_TIMEOUT_S):
                 await self._store.async_delete(self._object())
         except (AzurewickError, TimeoutError) as err:
             _LOGGER.warning("can't remove this instance's entry: %s", err)
@@ -93,7 +101,7 @@
     async def _async_run(self) -> None:
         while True:
             try:
-                await self._async_beat()
+                await self._async_publish()
                 await self._async_read()
             except AzurewickError as err:
                 _LOGGER.warning("heartbeat failed: %s", err)
@@ -101,36 +109,36 @@
                 HEARTBEAT_INTERVAL_S * self._random.uniform(0.8, 1.2)
             )
 
-    async def _async_beat(self) -> None:
+    async def _async_publish(self) -> None:
         self._beat += 1
+        item = self._object()
         try:
-            await self._store.async_update_status(self._object())
+            await self._store.async_update_status(item)
         except AzurewickError as err:
             if err.code is not ErrorCode.STORE_NOT_FOUND:
                 raise
             await self._store.async_create(
-                KIND_INSTANCES, self._name, {}, {ATTR_BEAT: self._beat}
+                KIND_INSTANCES, self._name, {}, item.status
             )
 
     async def _async_read(self) -> None:
         listed = await self._store.async_list(KIND_INSTANCES, allow_stale=True)
         now_s = monotonic_s()
         self._table.update(
-            {item.name: item.status.get(ATTR_BEAT) for item in listed.items},
-            now_s,
+            {item.name: item.status for item in listed.items}, now_s
         )
-        live = self._table.live(now_s)
+        live = self._table.live_peers(now_s)
         if live != self._live:
-            _LOGGER.info("entry instances changed", extra={"live": live})
+            _LOGGER.info(
+                "other entry instances changed", extra={"live": sorted(live)}
+            )
             self._live = live
-        self._on_share(
-            InstanceShare(index=live.index(self._name), count=len(live))
-        )
+        self._on_peers(live)
 
     def _object(self) -> StoredObject:
         return StoredObject(
             plural=KIND_INSTANCES,
             name=self._name,
             version=0,
-            status={ATTR_BEAT: self._beat},
+            status={ATTR_BEAT: self._beat, ATTR_ADDRESS: self._address},
         )
--- /dev/null
+++ b/azurewick/entry/peers.py
@@ -0,0 +1,182 @@
+"""What an entry instance knows about the other ones."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from math import exp
+from math import floor
+from zlib import crc32
+
+# A peer that is silent for this long is taken to use its shares in full.
+# Datagrams come several times in this time and get lost now and then.
+SILENT_AFTER_S = 1.0
+# Part of everything that is split evenly, so that an instance whose callers
+# have just come isn't left with nothing.
+EVEN_PART = 0.25
+# Work a second that is added to each instance's demand, so that the first
+# few requests don't decide the shares.
+PRIOR_WORK = 0.5
+# Time constant of the measured demand. The balancer spreads callers by a
+# hash, so that the differences between instances last.
+DEMAND_TIME_CONSTANT_S = 5.0
+# Instances assumed until the others are known.
+INITIAL_INSTANCES = 4
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerReport:
+    """What an instance tells the others, several times a second.
+
+    in_flight counts its requests by backend server. quota_used is what it
+    has taken of each customer's quota since its start, which incarnation
+    names. work is the nominal work a second that its callers ask for. A
+    larger sequence is newer.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    work: float = 0.0
+    in_flight: Mapping[str, int] = field(default_factory=dict)
+    quota_used: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Peer:
+    report: PeerReport
+    heard_s: float
+
+
+class DemandMeter:
+    """Measures the work that callers ask for, refused requests included."""
+
+    def __init__(self) -> None:
+        self._sum = 0.0
+        self._updated_s = 0.0
+
+    def add(self, work_s: float, now_s: float) -> None:
+        """Count the work of a request."""
+        self._sum = self._decayed(now_s) + work_s
+        self._updated_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        """Return the nominal work a second of the last seconds."""
+        return self._decayed(now_s) / DEMAND_TIME_CONSTANT_S
+
+    def _decayed(self, now_s: float) -> float:
+        passed_s = max(0.0, now_s - self._updated_s)
+        return self._sum * exp(-passed_s / DEMAND_TIME_CONSTANT_S)
+
+
+class PeerView:
+    """Reports of the peers and this instance's shares.
+
+    What a silent peer uses isn't known: it may be cut off and still serve.
+    It is taken to use its shares, as it does itself when all its peers are
+    silent.
+    """
+
+    def __init__(self, own_name: str) -> None:
+        self.meter = DemandMeter()
+        self._own_name = own_name
+        self._peers: dict[str, _Peer] = {}
+        self._members: tuple[str, ...] = (
+            own_name,
+            *(f"?{index}" for index in range(1, INITIAL_INSTANCES)),
+        )
+
+    @property
+    def count(self) -> int:
+        """Return the number of instances, this one included."""
+        return len(self._members)
+
+    def set_members(self, names: Collection[str]) -> None:
+        """Take the names of the live instances."""
+        self._members = tuple(sorted({*names, self._own_name}))
+
+    def take(self, report: PeerReport, now_s: float) -> PeerReport | None:
+        """Take a report; return the one before it of the same run.
+
+        Returns the report itself if there was none, so that nothing has
+        changed since, and None for a report that is not the newest.
+        """
+        if report.name == self._own_name:
+            return None
+        known = self._peers.get(report.name)
+        self_or_before = report
+        if known is not None and (
+            known.report.incarnation == report.incarnation
+        ):
+            if report.sequence <= known.report.sequence:
+                return None
+            self_or_before = known.report
+        self._peers[report.name] = _Peer(report, now_s)
+        return self_or_before
+
+    def places(self, total: int, backend: str, now_s: float) -> int:
+        """Return how many of a backend server's places are ours to use.
+
+        All that no other instance uses, and at least our own share.
+        """
+        used = 0
+        weights = self._weights(now_s)
+        for index, name in enumerate(self._members):
+            if name == self._own_name:
+                continue
+            peer = self._peers.get(name)
+            if peer is None or now_s - peer.heard_s > SILENT_AFTER_S:
+                used += _share(weights, index, total, backend)
+            else:
+                used += peer.report.in_flight.get(backend, 0)
+        own = self._members.index(self._own_name)
+        return max(total - used, _share(weights, own, total, backend))
+
+    def shared_fraction(self, now_s: float) -> float:
+        """Return the part of a quota that no silent peer may be using."""
+        weights = self._weights(now_s)
+        silent = sum(
+            weights[index]
+            for index, name in enumerate(self._members)
+            if name != self._own_name and self._is_silent(name, now_s)
+        )
+        return max(0.0, 1.0 - silent)
+
+    def _is_silent(self, name: str, now_s: float) -> bool:
+        peer = self._peers.get(name)
+        return peer is None or now_s - peer.heard_s > SILENT_AFTER_S
+
+    def _weights(self, now_s: float) -> list[float]:
+        demands = []
+        for name in self._members:
+            peer = self._peers.get(name)
+            if name == self._own_name:
+                work = self.meter.per_s(now_s)
+            else:
+                work = 0.0 if peer is None else peer.report.work
+            demands.append(work + PRIOR_WORK)
+        total = sum(demands)
+        even = EVEN_PART / len(demands)
+        return [even + (1 - EVEN_PART) * one / total for one in demands]
+
+
+def _share(
+    weights: list[float], own_index: int, total: int, backend: str
+) -> int:
+    """Return one instance's part of a number of places.
+
+    The parts of all instances add up to the total. The backend server's
+    name decides where the rounding starts, so that the remainders spread.
+    """
+    count = len(weights)
+    start = crc32(backend.encode()) % count
+    before = 0.0
+    for step in range(count):
+        index = (start + step) % count
+        after = before + total * weights[index]
+        if index == own_index:
+            return floor(after + 1e-9) - floor(before + 1e-9)
+        before = after
+    return 0
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -4,13 +4,12 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
-from dataclasses import dataclass
 from random import Random
 from typing import Protocol
-from zlib import crc32
 
 from azurewick.entry.backends import Backend
 from azurewick.entry.line import Demand
+from azurewick.entry.peers import PeerView
 
 # Plain services queue a few requests beyond their slots, which costs less
 # than a refusal.
@@ -25,37 +24,6 @@
 RUN_TIME_SHARE = 0.7
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class InstanceShare:
-    """Place of this instance among all entry instances.
-
-    index counts from 0 in the order of the names.
-    """
-
-    index: int
-    count: int
-
-    @property
-    def fraction(self) -> float:
-        """Return this instance's part of what all use together."""
-        return 1.0 / self.count
-
-    def places(self, total: int, key: str) -> int:
-        """Return this instance's part of a number of places.
-
-        The parts of all instances add up to the total; which instances get
-        one place more depends on the key.
-        """
-        whole, rest = divmod(total, self.count)
-        turn = (self.index + crc32(key.encode())) % self.count
-        return whole + (turn < rest)
-
-
-# The platform runs at least this many instances; it holds until the others
-# are known.
-INITIAL_SHARE = InstanceShare(index=0, count=4)
-
-
 class Placement(Protocol):
     """Policy that places requests."""
 
@@ -74,8 +42,8 @@
 class LeastLoadPlacement:
     """Places at the server with the least load for its speed.
 
-    Entry instances don't see each other's requests, so each keeps to its
-    share of a server's places. Engines admit requests in the order of
+    Each instance uses the places that its peers leave, and at least its
+    share. Engines admit requests in the order of
     arrival: beyond their slots, urgent requests would wait behind others.
     """
 
@@ -85,26 +53,26 @@
         failure_domain: str,
         regions: Mapping[str, str],
         random: Random,
-        share: InstanceShare = INITIAL_SHARE,
+        peers: PeerView,
     ) -> None:
-        self.share = share
+        self._peers = peers
         self._failure_domain = failure_domain
         self._regions = regions
         self._region = regions.get(failure_domain, "")
         self._random = random
 
-    def limit(self, backend: Backend) -> int:
+    def limit(self, backend: Backend, now_s: float) -> int:
         """Return how many requests this instance may have at a server."""
         entry = backend.entry
         total = entry.slots
         if not backend.is_engine:
             total = round(total * PLAIN_SHARE_MARGIN)
-        return self.share.places(total, entry.name)
+        return self._peers.places(total, entry.name, now_s)
 
     def capacity(self, candidates: Sequence[Backend], now_s: float) -> float:
         """Return the nominal work a second that this instance may place."""
         return sum(
-            self.limit(backend) / backend.pace
+            self.limit(backend, now_s) / backend.pace
             for backend in candidates
             if backend.is_available(now_s)
         )
@@ -125,7 +93,7 @@
             for backend in candidates
             if backend.is_available(now_s)
             and backend.name not in demand.excluded
-            and backend.in_flight < self.limit(backend)
+            and backend.in_flight < self.limit(backend, now_s)
         ]
         if not free:
             return None
@@ -135,13 +103,13 @@
             key=lambda backend: (
                 _is_late(backend, demand, now_s),
                 _is_cut(backend, demand, now_s),
-                self._cost(backend, mean_pace),
+                self._cost(backend, mean_pace, now_s),
                 self._random.random(),
             ),
         )
 
-    def _cost(self, backend: Backend, mean_pace: float) -> float:
-        load = (backend.in_flight + 1) / self.limit(backend)
+    def _cost(self, backend: Backend, mean_pace: float, now_s: float) -> float:
+        load = (backend.in_flight + 1) / self.limit(backend, now_s)
         return load * backend.pace / mean_pace + self._distance(
             backend.entry.failure_domain
         )
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -2,24 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
+from math import inf
 
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import CustomerQuota
-from azurewick.entry.placement import INITIAL_SHARE
-
-
-@dataclass(slots=True)
-class _Bucket:
-    tokens: float
-    updated_s: float
-    rate_per_s: float
-    burst: float
-
 
 # Part of the tolerated overrun that instances use together. The rest covers
 # instances that have just started and those that count each other late.
-OVERRUN_SAFETY = 0.8
+OVERRUN_SAFETY = 0.6
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -35,20 +28,33 @@
     allowance: float = 0.0
 
 
+@dataclass(slots=True)
+class _Bucket:
+    """Tokens of all instances together, as this one counts them.
+
+    used is what this instance has taken since its start.
+    """
+
+    tokens: float
+    updated_s: float
+    rate_per_s: float
+    depth: float
+    used: float = 0.0
+
+
 class QuotaLimiter:
-    """Token bucket a customer for this instance's share of the quota.
+    """Token bucket a customer, which all instances fill and empty together.
 
-    share is the part of the quota that this instance may use, between 0
-    and 1. The bucket is deeper than the burst by the tolerated overrun:
-    single requests are large against a share of the burst, and callers
-    spread unevenly over the instances.
+    Each instance counts what the peers report to have taken. fraction is
+    the part of the quotas that no silent peer may be using. The bucket is
+    deeper than the burst by the tolerated overrun.
     """
 
     def __init__(
-        self, tolerance: QuotaTolerance, share: float = INITIAL_SHARE.fraction
+        self, tolerance: QuotaTolerance, fraction: Callable[[float], float]
     ) -> None:
-        self.share = share
         self._tolerance = tolerance
+        self._fraction = fraction
         self._buckets: dict[str, _Bucket] = {}
 
     def take(
@@ -60,10 +66,13 @@
         cost = request_cost(customer, request)
         bucket = self._refill(customer, now_s)
         # A request larger than the bucket passes when the bucket is full.
-        needed = min(cost, bucket.burst)
+        needed = min(cost, bucket.depth)
         if bucket.tokens >= needed:
             bucket.tokens -= cost
+            bucket.used += cost
             return None
+        if bucket.rate_per_s <= 0:
+            return inf
         return (needed - bucket.tokens) / bucket.rate_per_s
 
     def give_back(
@@ -73,7 +82,25 @@
         bucket = self._buckets.get(customer.name)
         if bucket is not None:
             cost = request_cost(customer, request)
-            bucket.tokens = min(bucket.burst, bucket.tokens + cost)
+            bucket.tokens = min(bucket.depth, bucket.tokens + cost)
+            bucket.used -= cost
+
+    def used(self) -> dict[str, float]:
+        """Return what this instance has taken since its start."""
+        return {
+            name: bucket.used
+            for name, bucket in self._buckets.items()
+            if bucket.used
+        }
+
+    def take_report(
+        self, before: Mapping[str, float], after: Mapping[str, float]
+    ) -> None:
+        """Take what a peer has used between two of its reports."""
+        for name, used in after.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.tokens -= used - before.get(name, 0.0)
 
     def _depth(self, customer: CustomerQuota) -> float:
         tolerance = self._tolerance
@@ -85,18 +112,19 @@
         return customer.burst + OVERRUN_SAFETY * overrun
 
     def _refill(self, customer: CustomerQuota, now_s: float) -> _Bucket:
-        rate_per_s = customer.rate_per_s * self.share
-        burst = self._depth(customer) * self.share
+        fraction = self._fraction(now_s)
+        rate_per_s = customer.rate_per_s * fraction
+        depth = self._depth(customer) * fraction
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = _Bucket(burst, now_s, rate_per_s, burst)
+            bucket = _Bucket(depth, now_s, rate_per_s, depth)
             self._buckets[customer.name] = bucket
             return bucket
         passed_s = max(0.0, now_s - bucket.updated_s)
-        bucket.tokens = min(burst, bucket.tokens + passed_s * rate_per_s)
+        bucket.tokens = min(depth, bucket.tokens + passed_s * rate_per_s)
         bucket.updated_s = now_s
         bucket.rate_per_s = rate_per_s
-        bucket.burst = burst
+        bucket.depth = depth
         return bucket
 
 
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -15,6 +15,7 @@
 from azurewick.entry.models import MoveState
 from azurewick.entry.models import Route
 from azurewick.entry.patience import CallerPatience
+from azurewick.entry.peers import PeerView
 from azurewick.entry.placement import LeastLoadPlacement
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.settings import EntrySettings
@@ -39,6 +40,7 @@
         state: FleetState,
         client: BackendClient,
         protocol: WireProtocol,
+        peers: PeerView,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
@@ -55,7 +57,9 @@
             failure_domain=settings.failure_domain,
             regions=settings.regions,
             random=random,
+            peers=peers,
         )
+        self._peers = peers
         state.on_change.append(self.fill)
 
     def parts_of(self, service: str) -> ExchangeParts:
@@ -109,15 +113,14 @@
             dispatcher=Dispatcher(
                 partial(self._candidates, service),
                 self.placement,
+                self._peers.meter,
                 self._clock,
             ),
             retries=RetryBudget(
                 window_s=settings.retry_window_s,
                 ratio=settings.retry_ratio * RETRY_SAFETY,
                 allowance=int(
-                    settings.retry_allowance
-                    * RETRY_SAFETY
-                    * self.placement.share.fraction
+                    settings.retry_allowance * RETRY_SAFETY / self._peers.count
                 ),
             ),
             work=self._work,
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -11,7 +11,8 @@
 class EntrySettings:
     """Addresses, limits and bounds of one entry instance.
 
-    Addresses are "IP:port". regions maps failure domains to regions. The
+    Addresses are "IP:port"; other entry instances send datagrams to
+    peer_address. regions maps failure domains to regions. The
     allowances hold for all entry instances together.
     """
 
@@ -20,6 +21,7 @@
     region: str
     address: str
     ready_address: str
+    peer_address: str
     store_address: str
     regions: Mapping[str, str] = field(default_factory=dict)
     metrics_address: str | None = None
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -73,7 +73,8 @@
     limits: LimitsTable = LimitsTable()
     bounds: BoundsTable = BoundsTable()
     platform: StoreTable
-    port_range: tuple[int, int] = (0, 0)
+    # First and last port for the processes of the system.
+    port_range: tuple[int, int]
 
 
 def parse_node_file(text: str) -> EntrySettings:
@@ -90,7 +91,7 @@
             step=Step.SETTINGS,
         ) from err
     host = node.listen.front.rpartition(":")[0]
-    port = node.port_range[0]
+    first_port = node.port_range[0]
     bounds = node.bounds
     return EntrySettings(
         name=node.node_name,
@@ -99,7 +100,8 @@
         regions=dict(node.zones),
         address=node.listen.front,
         ready_address=node.listen.ready_addr,
-        metrics_address=f"{host}:{port}" if port else None,
+        metrics_address=f"{host}:{first_port}",
+        peer_address=f"{host}:{first_port + 1}",
         store_address=node.platform.addr,
         memory_bytes=int(node.limits.memory_mb * 1_000_000),
         max_connections=int(node.limits.max_fds * CONNECTION_SHARE),
