--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -91,6 +91,7 @@
                 allowance=settings.quota_allowance,
             ),
             self._peers.shared_fraction,
+            monotonic_s(),
         )
         self._gossip = PeerGossip(
             settings.peer_address, self._build_report, self._take_report
@@ -200,10 +201,18 @@
         )
 
     def _take_report(self, report: PeerReport) -> None:
-        before = self._peers.take(report, monotonic_s())
+        now_s = monotonic_s()
+        before = self._peers.take(report, now_s)
         if before is None:
             return
-        self._limiter.take_report(before.quota_used, report.quota_used)
+        configuration = self.state.configuration
+        if configuration is not None:
+            self._limiter.take_report(
+                configuration.customers,
+                before.quota_used,
+                report.quota_used,
+                now_s,
+            )
         self._pools.fill()
 
     async def _async_ready(self, request: BaseRequest) -> StreamResponse:
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -12,7 +12,7 @@
 
 # Part of the tolerated overrun that instances use together. The rest covers
 # instances that have just started and those that count each other late.
-OVERRUN_SAFETY = 0.6
+OVERRUN_SAFETY = 0.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,14 +47,19 @@
 
     Each instance counts what the peers report to have taken. fraction is
     the part of the quotas that no silent peer may be using. The bucket is
-    deeper than the burst by the tolerated overrun.
+    deeper than the burst by the tolerated overrun. It is empty at
+    started_s: what a process has used before it was restarted isn't known.
     """
 
     def __init__(
-        self, tolerance: QuotaTolerance, fraction: Callable[[float], float]
+        self,
+        tolerance: QuotaTolerance,
+        fraction: Callable[[float], float],
+        started_s: float,
     ) -> None:
         self._tolerance = tolerance
         self._fraction = fraction
+        self._started_s = started_s
         self._buckets: dict[str, _Bucket] = {}
 
     def take(
@@ -94,12 +99,17 @@
         }
 
     def take_report(
-        self, before: Mapping[str, float], after: Mapping[str, float]
+        self,
+        customers: Mapping[str, CustomerQuota],
+        before: Mapping[str, float],
+        after: Mapping[str, float],
+        now_s: float,
     ) -> None:
         """Take what a peer has used between two of its reports."""
         for name, used in after.items():
-            bucket = self._buckets.get(name)
-            if bucket is not None:
+            customer = customers.get(name)
+            if customer is not None and customer.rate_per_s > 0:
+                bucket = self._refill(customer, now_s)
                 bucket.tokens -= used - before.get(name, 0.0)
 
     def _depth(self, customer: CustomerQuota) -> float:
@@ -117,9 +127,8 @@
         depth = self._depth(customer) * fraction
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = _Bucket(depth, now_s, rate_per_s, depth)
+            bucket = _Bucket(0.0, self._started_s, rate_per_s, depth)
             self._buckets[customer.name] = bucket
-            return bucket
         passed_s = max(0.0, now_s - bucket.updated_s)
         bucket.tokens = min(depth, bucket.tokens + passed_s * rate_per_s)
         bucket.updated_s = now_s
--- a/azurewick/entry/watches.py
+++ b/azurewick/entry/watches.py
@@ -21,6 +21,8 @@
 WATCH_WAIT_S = 2.0
 # The configuration is read again within a second of the store's return.
 MAX_BACKOFF_S = 0.6
+# The event loop's timers fire up to a millisecond early.
+TIMER_SLACK_S = 0.02
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,5 +90,5 @@
         self._state.set_servers_reachable(reachable)
         if reachable:
             asyncio.get_running_loop().call_later(
-                LAPSE_GRACE_S, self._state.expire_lapsed
+                LAPSE_GRACE_S + TIMER_SLACK_S, self._state.expire_lapsed
             )
