--- a/azurewick/entry/context.py
+++ b/azurewick/entry/context.py
@@ -17,7 +17,7 @@
 class EntryContext:
     """Request with what the filters have found out about it.
 
-    has_quota says that the request's cost is taken from its customer.
+    quota_cost is what has been taken of the customer's quota.
     """
 
     http: BaseRequest
@@ -26,7 +26,7 @@
     route: Route | None = None
     customer: CustomerQuota | None = None
     body: bytes = b""
-    has_quota: bool = False
+    quota_cost: float = 0.0
 
     @property
     def rank(self) -> Rank:
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -13,6 +13,7 @@
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import Route
 from azurewick.entry.quota import QuotaLimiter
+from azurewick.entry.quota import request_cost
 from azurewick.entry.state import FleetState
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -157,7 +158,7 @@
                 step=Step.LIMIT,
                 retry_after_s=wait_s,
             )
-        context.has_quota = True
+        context.quota_cost = request_cost(context.customer, context.request)
 
 
 def _refuse(code: ErrorCode, message: str) -> AzurewickError:
--- a/azurewick/entry/handler.py
+++ b/azurewick/entry/handler.py
@@ -160,9 +160,9 @@
     def _return_quota(
         self, context: EntryContext, error: AzurewickError
     ) -> None:
-        if context.has_quota and error.outcome is Outcome.NOT_RUN:
+        if context.quota_cost and error.outcome is Outcome.NOT_RUN:
             assert context.customer is not None
-            self._limiter.give_back(context.customer, context.request)
+            self._limiter.give_back(context.customer, context.quota_cost)
 
     def _build_refusal(
         self, error: AzurewickError, request: CallerRequest
@@ -210,6 +210,7 @@
                     "" if context.customer is None else context.customer.name
                 ),
                 "rank": context.rank,
+                "quota_cost": context.quota_cost,
                 "outcome": code,
                 "status": trace.status,
                 "attempts": [_describe(one) for one in trace.attempts],
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -122,27 +122,32 @@
         All that no other instance uses, and at least our own share.
         """
         used = 0
-        weights = self._weights(now_s)
+        even = [1.0 / self.count] * self.count
+        has_silent = False
         for index, name in enumerate(self._members):
             if name == self._own_name:
                 continue
-            peer = self._peers.get(name)
-            if peer is None or now_s - peer.heard_s > SILENT_AFTER_S:
-                used += _share(weights, index, total, backend)
+            if self._is_silent(name, now_s):
+                has_silent = True
+                used += _share(even, index, total, backend)
             else:
-                used += peer.report.in_flight.get(backend, 0)
+                report = self._peers[name].report
+                used += report.in_flight.get(backend, 0)
+        # The weights of a silent peer aren't known to be the same as ours.
+        weights = even if has_silent else self._weights(now_s)
         own = self._members.index(self._own_name)
         return max(total - used, _share(weights, own, total, backend))
 
     def shared_fraction(self, now_s: float) -> float:
-        """Return the part of a quota that no silent peer may be using."""
-        weights = self._weights(now_s)
+        """Return the part of a quota that no silent peer may be using.
+
+        The split is even: both sides of a cut have to come to the same one.
+        """
         silent = sum(
-            weights[index]
-            for index, name in enumerate(self._members)
-            if name != self._own_name and self._is_silent(name, now_s)
+            name != self._own_name and self._is_silent(name, now_s)
+            for name in self._members
         )
-        return max(0.0, 1.0 - silent)
+        return 1.0 - silent / self.count
 
     def _is_silent(self, name: str, now_s: float) -> bool:
         peer = self._peers.get(name)
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -80,13 +80,10 @@
             return inf
         return (needed - bucket.tokens) / bucket.rate_per_s
 
-    def give_back(
-        self, customer: CustomerQuota, request: CallerRequest
-    ) -> None:
+    def give_back(self, customer: CustomerQuota, cost: float) -> None:
         """Return the cost of a request that hasn't run."""
         bucket = self._buckets.get(customer.name)
         if bucket is not None:
-            cost = request_cost(customer, request)
             bucket.tokens = min(bucket.depth, bucket.tokens + cost)
             bucket.used -= cost
 
