--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -33,6 +33,8 @@
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.quota import QuotaTolerance
+from azurewick.entry.reload import SettingsFile
+from azurewick.entry.reload import SettingsReloader
 from azurewick.entry.services import ServicePools
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.state import DocumentDecoder
@@ -85,11 +87,7 @@
             random=random,
         )
         limiter = QuotaLimiter(
-            QuotaTolerance(
-                window_s=settings.quota_window_s,
-                overage=settings.quota_overage,
-                allowance=settings.quota_allowance,
-            ),
+            _build_tolerance(settings),
             self._peers.shared_fraction,
             monotonic_s(),
         )
@@ -182,6 +180,17 @@
             "entry instance stopped", extra={"instance": self.settings.name}
         )
 
+    def apply_settings(self, settings: EntrySettings) -> None:
+        """Use new limits and bounds; addresses hold until the next start."""
+        if settings == self.settings:
+            _LOGGER.info("settings are unchanged")
+            return
+        self.settings = settings
+        self._drain.grace_s = settings.grace_s
+        self._limiter.tolerance = _build_tolerance(settings)
+        self._pools.apply_settings(settings)
+        _LOGGER.info("settings reloaded", extra={"instance": settings.name})
+
     def _set_peers(self, addresses: Mapping[str, str]) -> None:
         self._peers.set_members(addresses)
         self._gossip.set_peers(addresses)
@@ -227,28 +236,46 @@
         self._runners.append(runner)
 
 
+def _build_tolerance(settings: EntrySettings) -> QuotaTolerance:
+    return QuotaTolerance(
+        window_s=settings.quota_window_s,
+        overage=settings.quota_overage,
+        allowance=settings.quota_allowance,
+    )
+
+
 class EntryService(Service):
     """aiomisc service that runs an entry instance until SIGTERM."""
 
-    def __init__(self, instance: EntryInstance, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        instance: EntryInstance,
+        settings_file: SettingsFile,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(**kwargs)
         self._instance = instance
+        self._reloader = SettingsReloader(
+            settings_file, instance.apply_settings
+        )
 
     async def start(self) -> None:
         """Start the instance."""
         await self._instance.async_start()
+        self._reloader.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Drain the instance and stop it."""
+        await self._reloader.async_stop()
         await self._instance.async_drain()
         await self._instance.async_stop()
 
 
-def run_entry(instance: EntryInstance) -> int:
+def run_entry(instance: EntryInstance, settings_file: SettingsFile) -> int:
     """Run an entry instance until it is stopped; return the exit code."""
     try:
         with entrypoint(
-            EntryService(instance),
+            EntryService(instance, settings_file),
             log_config=False,
             shutdown_timeout=instance.settings.grace_s,
         ) as loop:
--- a/azurewick/entry/drain.py
+++ b/azurewick/entry/drain.py
@@ -16,7 +16,7 @@
     """Times of a drain; grace_s lies between SIGTERM and the kill."""
 
     def __init__(self, grace_s: float) -> None:
-        self._grace_s = grace_s
+        self.grace_s = grace_s
         self._started_s: float | None = None
 
     @property
@@ -36,7 +36,7 @@
     def stops_s(self) -> float:
         """Return when the process has to end."""
         assert self._started_s is not None
-        return self._started_s + self._grace_s - KILL_MARGIN_S
+        return self._started_s + self.grace_s - KILL_MARGIN_S
 
     def takes(self, now_s: float, expected_run_s: float) -> bool:
         """Return whether a request that comes now can still end.
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -57,7 +57,7 @@
         fraction: Callable[[float], float],
         started_s: float,
     ) -> None:
-        self._tolerance = tolerance
+        self.tolerance = tolerance
         self._fraction = fraction
         self._started_s = started_s
         self._buckets: dict[str, _Bucket] = {}
@@ -110,7 +110,7 @@
                 bucket.tokens -= used - before.get(name, 0.0)
 
     def _depth(self, customer: CustomerQuota) -> float:
-        tolerance = self._tolerance
+        tolerance = self.tolerance
         overrun = tolerance.overage * (
             customer.rate_per_s * tolerance.window_s + customer.burst
         )
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -90,6 +90,12 @@
                 return one.name
         return route.services[-1].name
 
+    def apply_settings(self, settings: EntrySettings) -> None:
+        """Use new bounds of the repeats from now on."""
+        self._settings = settings
+        for parts in self._parts.values():
+            parts.retries = self._build_retries()
+
     def expect_run_s(self, route: Route, request: CallerRequest) -> float:
         """Return how long a request is expected to run at a server."""
         paces = [
@@ -105,8 +111,17 @@
         for parts in self._parts.values():
             parts.dispatcher.fill()
 
-    def _build(self, service: str) -> ExchangeParts:
+    def _build_retries(self) -> RetryBudget:
         settings = self._settings
+        return RetryBudget(
+            window_s=settings.retry_window_s,
+            ratio=settings.retry_ratio * RETRY_SAFETY,
+            allowance=int(
+                settings.retry_allowance * RETRY_SAFETY / self._peers.count
+            ),
+        )
+
+    def _build(self, service: str) -> ExchangeParts:
         return ExchangeParts(
             client=self._client,
             protocol=self._protocol,
@@ -116,13 +131,7 @@
                 self._peers.meter,
                 self._clock,
             ),
-            retries=RetryBudget(
-                window_s=settings.retry_window_s,
-                ratio=settings.retry_ratio * RETRY_SAFETY,
-                allowance=int(
-                    settings.retry_allowance * RETRY_SAFETY / self._peers.count
-                ),
-            ),
+            retries=self._build_retries(),
             work=self._work,
             patience=self._patience,
             tokens_per_event=partial(self._tokens_per_event, service),
--- a/azurewick/platform/daemon.py
+++ b/azurewick/platform/daemon.py
@@ -10,10 +10,10 @@
 
 from azurewick.entry.application import run_entry
 from azurewick.errors import AzurewickError
-from azurewick.helpers.logging import setup_logging
+from azurewick.helpers.logging import setup_bounded_logging
 from azurewick.platform.application import build_entry
 from azurewick.platform.const import ENV_NODE_FILE
-from azurewick.platform.settings import load_node_file
+from azurewick.platform.settings import NodeSettingsFile
 
 EXIT_INVALID_SETTINGS = 2
 
@@ -34,16 +34,17 @@
     ] = False,
 ) -> None:
     """Run an entry instance until SIGTERM."""
+    node_file = NodeSettingsFile(settings_file)
     try:
-        settings = load_node_file(settings_file)
+        settings = node_file.load()
     except AzurewickError as err:
         typer.echo(f"azurewick-entry: {err}", err=True)
         raise typer.Exit(EXIT_INVALID_SETTINGS) from err
     if check:
         typer.echo(f"{settings_file}: valid settings of {settings.name}")
         return
-    setup_logging("json", "info", to_stdout=True)
-    sys.exit(run_entry(build_entry(settings)))
+    setup_bounded_logging("info")
+    sys.exit(run_entry(build_entry(settings), node_file))
 
 
 def main() -> None:
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -131,3 +131,14 @@
             step=Step.SETTINGS,
         ) from err
     return parse_node_file(text)
+
+
+class NodeSettingsFile:
+    """SettingsFile in the platform's format."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+
+    def load(self) -> EntrySettings:
+        """Return the settings; AzurewickError when they are invalid."""
+        return load_node_file(self.path)
