--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -171,11 +171,11 @@
         """Close the servers and stop the controllers."""
         await asyncio.gather(
             self._directory.async_stop(),
+            self._gossip.async_stop(),
             self._watches.async_stop(),
             *(runner.cleanup() for runner in self._runners),
         )
         await self._store.async_close()
-        await self._gossip.async_stop()
         await self._client.async_stop()
         await self.metrics.async_stop()
         _LOGGER.info(
@@ -209,6 +209,7 @@
                 if backend.in_flight
             },
             quota_used=self._limiter.used(),
+            quota_levels=self._limiter.levels(),
         )
 
     def _take_report(self, report: PeerReport) -> None:
@@ -218,8 +219,10 @@
             return
         configuration = self.state.configuration
         if configuration is not None:
+            customers = configuration.customers
+            self._limiter.adopt_levels(customers, report.quota_levels, now_s)
             self._limiter.take_report(
-                configuration.customers,
+                customers,
                 before.quota_used,
                 report.quota_used,
                 now_s,
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -20,9 +20,11 @@
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
 
-# A request that is late on arrival came back after a refusal. It waits at
-# most this long: callers leave a silent stream after two seconds.
-LATE_WAIT_S = 0.5
+# A request that is late on arrival came back after a refusal, and a second
+# one would end it. It waits at most this long, as callers leave a silent
+# stream after two seconds, and this part of the time that its caller has.
+LATE_WAIT_S = 1.5
+LATE_WAIT_SHARE = 0.25
 # A refused request comes back after this at the earliest.
 SHORTEST_RETURN_S = 0.2
 
@@ -126,7 +128,7 @@
     left_s = max(0.0, demand.ends_s - now_s)
     if demand.is_on_time(now_s):
         return min(left_s, demand.target_s - demand.work.first_s - now_s)
-    return min(left_s, LATE_WAIT_S)
+    return min(LATE_WAIT_SHARE * left_s, LATE_WAIT_S)
 
 
 def _refuse(message: str, wait_s: float) -> AzurewickError:
--- a/azurewick/entry/drain.py
+++ b/azurewick/entry/drain.py
@@ -7,6 +7,9 @@
 # Time before the platform's kill at which the process ends by itself: the
 # servers are closed and this instance's entry is removed.
 KILL_MARGIN_S = 1.0
+# Callers that come before the balancer has noticed are served in any case:
+# most of their requests end in time.
+SERVES_ALL_S = 2.9
 # Requests take up to this multiple of the expected time, and this much more.
 RUN_MARGIN_FACTOR = 1.5
 RUN_MARGIN_S = 0.3
@@ -46,5 +49,7 @@
         """
         if self._started_s is None:
             return True
+        if now_s < self._started_s + SERVES_ALL_S:
+            return True
         run_s = expected_run_s * RUN_MARGIN_FACTOR + RUN_MARGIN_S
         return now_s + run_s < self.stops_s()
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -8,6 +8,7 @@
 from asyncio import Task
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import replace
 from logging import getLogger
 from typing import Any
 
@@ -32,9 +33,11 @@
 KEY_NAME = "n"
 KEY_INCARNATION = "i"
 KEY_SEQUENCE = "s"
+KEY_LEAVING = "l"
 KEY_WORK = "w"
 KEY_IN_FLIGHT = "f"
 KEY_QUOTA = "q"
+KEY_LEVELS = "t"
 
 
 def encode_report(report: PeerReport) -> bytes:
@@ -44,11 +47,11 @@
             KEY_NAME: report.name,
             KEY_INCARNATION: report.incarnation,
             KEY_SEQUENCE: report.sequence,
+            KEY_LEAVING: report.is_leaving,
             KEY_WORK: round(report.work, 2),
             KEY_IN_FLIGHT: dict(report.in_flight),
-            KEY_QUOTA: {
-                name: round(used) for name, used in report.quota_used.items()
-            },
+            KEY_QUOTA: _round(report.quota_used),
+            KEY_LEVELS: _round(report.quota_levels),
         }
     )
 
@@ -64,9 +67,11 @@
             name=_read_text(body, KEY_NAME),
             incarnation=int(body[KEY_INCARNATION]),
             sequence=int(body[KEY_SEQUENCE]),
+            is_leaving=body[KEY_LEAVING] is True,
             work=float(body[KEY_WORK]),
             in_flight=_read_counts(body[KEY_IN_FLIGHT]),
             quota_used=_read_counts(body[KEY_QUOTA]),
+            quota_levels=_read_counts(body[KEY_LEVELS]),
         )
     except (KeyError, TypeError, ValueError) as err:
         raise AzurewickError(
@@ -102,11 +107,14 @@
         self._task = asyncio.create_task(self._async_send())
 
     async def async_stop(self) -> None:
-        """Close the port."""
+        """Tell the peers that this instance leaves, and close the port."""
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
         if self._transport is not None:
+            self._sequence += 1
+            report = self._build_report(self._sequence)
+            self._send(replace(report, is_leaving=True))
             self._transport.close()
 
     def set_peers(self, addresses: Mapping[str, str]) -> None:
@@ -130,13 +138,16 @@
         """Ignore that a peer's port is closed; the peer counts as silent."""
         _LOGGER.debug("datagram not delivered: %s", exc)
 
-    async def _async_send(self) -> None:
+    def _send(self, report: PeerReport) -> None:
         assert self._transport is not None
+        data = encode_report(report)
+        for peer in self._peers.values():
+            self._transport.sendto(data, peer)
+
+    async def _async_send(self) -> None:
         while True:
             self._sequence += 1
-            data = encode_report(self._build_report(self._sequence))
-            for peer in self._peers.values():
-                self._transport.sendto(data, peer)
+            self._send(self._build_report(self._sequence))
             await asyncio.sleep(
                 min(
                     LONGEST_INTERVAL_S,
@@ -148,6 +159,10 @@
             )
 
 
+def _round(amounts: Mapping[str, float]) -> dict[str, int]:
+    return {name: round(amount) for name, amount in amounts.items()}
+
+
 def _read_text(body: Any, key: str) -> str:
     value = body[key]
     if not isinstance(value, str):
--- a/azurewick/entry/line.py
+++ b/azurewick/entry/line.py
@@ -52,7 +52,7 @@
         tier for the sake of long ones just above.
         """
         customer_tier, route_tier = self.rank
-        value = CUSTOMER_TIER_FACTOR**-customer_tier
+        value = self.work.value * CUSTOMER_TIER_FACTOR**-customer_tier
         value *= ROUTE_TIER_FACTOR**-route_tier
         if not self.is_on_time(now_s):
             value *= RETURNED_FACTOR if self.has_returned else LATE_FACTOR
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -16,6 +16,13 @@
 # Part of everything that is split evenly, so that an instance whose callers
 # have just come isn't left with nothing.
 EVEN_PART = 0.25
+# Part of its share that each peer finds free when it needs it. An instance
+# that has borrowed more holds it until its requests end, and the engine
+# would get more requests than slots.
+KEPT_PART = 0.6
+# Requests beyond its slots that an engine may get when an instance takes its
+# share from one that has borrowed.
+OVERCOMMIT_PLACES = 1
 # Work a second that is added to each instance's demand, so that the first
 # few requests don't decide the shares.
 PRIOR_WORK = 0.5
@@ -30,18 +37,21 @@
 class PeerReport:
     """What an instance tells the others, several times a second.
 
-    in_flight counts its requests by backend server. quota_used is what it
-    has taken of each customer's quota since its start, which incarnation
-    names. work is the nominal work a second that its callers ask for. A
-    larger sequence is newer.
+    is_leaving says that it stops and uses nothing any more. in_flight
+    counts its requests by backend server. quota_used is what it has taken
+    of each customer's quota since its start, which incarnation names, and
+    quota_levels what it believes to be left of each. work is the nominal
+    work a second that its callers ask for. A larger sequence is newer.
     """
 
     name: str
     incarnation: int
     sequence: int
+    is_leaving: bool = False
     work: float = 0.0
     in_flight: Mapping[str, int] = field(default_factory=dict)
     quota_used: Mapping[str, float] = field(default_factory=dict)
+    quota_levels: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -83,6 +93,8 @@
         self.meter = DemandMeter()
         self._own_name = own_name
         self._peers: dict[str, _Peer] = {}
+        # Incarnations of the peers that have left.
+        self._left: dict[str, int] = {}
         self._members: tuple[str, ...] = (
             own_name,
             *(f"?{index}" for index in range(1, INITIAL_INSTANCES)),
@@ -95,7 +107,8 @@
 
     def set_members(self, names: Collection[str]) -> None:
         """Take the names of the live instances."""
-        self._members = tuple(sorted({*names, self._own_name}))
+        present = {name for name in names if name not in self._left}
+        self._members = tuple(sorted({*present, self._own_name}))
 
     def take(self, report: PeerReport, now_s: float) -> PeerReport | None:
         """Take a report; return the one before it of the same run.
@@ -105,6 +118,15 @@
         """
         if report.name == self._own_name:
             return None
+        if report.is_leaving:
+            self._leave(report)
+            return None
+        left = self._left.get(report.name)
+        if left == report.incarnation:
+            return None
+        if left is not None:
+            del self._left[report.name]
+            self.set_members((*self._members, report.name))
         known = self._peers.get(report.name)
         self_or_before = report
         if known is not None and (
@@ -119,24 +141,29 @@
     def places(self, total: int, backend: str, now_s: float) -> int:
         """Return how many of a backend server's places are ours to use.
 
-        All that no other instance uses, and at least our own share.
+        All that the others neither use nor may soon need, and at least our
+        own share.
         """
-        used = 0
+        in_flight = reserved = 0
         even = [1.0 / self.count] * self.count
-        has_silent = False
+        weights = even if self._has_silent(now_s) else self._weights(now_s)
         for index, name in enumerate(self._members):
             if name == self._own_name:
                 continue
-            if self._is_silent(name, now_s):
-                has_silent = True
-                used += _share(even, index, total, backend)
-            else:
-                report = self._peers[name].report
-                used += report.in_flight.get(backend, 0)
-        # The weights of a silent peer aren't known to be the same as ours.
-        weights = even if has_silent else self._weights(now_s)
+            share = _share(weights, index, total, backend)
+            used = share
+            if not self._is_silent(name, now_s):
+                used = self._peers[name].report.in_flight.get(backend, 0)
+            in_flight += used
+            reserved += max(floor(KEPT_PART * share), used)
         own = self._members.index(self._own_name)
-        return max(total - used, _share(weights, own, total, backend))
+        return max(
+            total - reserved,
+            min(
+                _share(weights, own, total, backend),
+                max(1, total + OVERCOMMIT_PLACES - in_flight),
+            ),
+        )
 
     def shared_fraction(self, now_s: float) -> float:
         """Return the part of a quota that no silent peer may be using.
@@ -149,6 +176,19 @@
         )
         return 1.0 - silent / self.count
 
+    def _leave(self, report: PeerReport) -> None:
+        self._left[report.name] = report.incarnation
+        self._peers.pop(report.name, None)
+        self.set_members(self._members)
+
+    def _has_silent(self, now_s: float) -> bool:
+        """Return whether the weights of a peer may differ from ours."""
+        return any(
+            self._is_silent(name, now_s)
+            for name in self._members
+            if name != self._own_name
+        )
+
     def _is_silent(self, name: str, now_s: float) -> bool:
         peer = self._peers.get(name)
         return peer is None or now_s - peer.heard_s > SILENT_AFTER_S
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -15,6 +15,13 @@
 OVERRUN_SAFETY = 0.5
 
 
+# Shortest time between the end of a process and its next start.
+RESTART_CREDIT_S = 1.5
+# Time after a start in which the levels of peers are taken over. Their
+# reports come several times a second once the store has named them.
+ADOPT_LEVELS_S = 3.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class QuotaTolerance:
     """Overrun of a quota that all instances together may cause.
@@ -47,8 +54,11 @@
 
     Each instance counts what the peers report to have taken. fraction is
     the part of the quotas that no silent peer may be using. The bucket is
-    deeper than the burst by the tolerated overrun. It is empty at
-    started_s: what a process has used before it was restarted isn't known.
+    deeper than the burst by the tolerated overrun.
+
+    What this instance used before its start at started_s isn't known. It
+    starts with what its quota has gained while it was down, and takes over
+    the lower level of a peer that has run on.
     """
 
     def __init__(
@@ -95,6 +105,25 @@
             if bucket.used
         }
 
+    def levels(self) -> dict[str, float]:
+        """Return the tokens that all instances together have left."""
+        return {name: one.tokens for name, one in self._buckets.items()}
+
+    def adopt_levels(
+        self,
+        customers: Mapping[str, CustomerQuota],
+        levels: Mapping[str, float],
+        now_s: float,
+    ) -> None:
+        """Take over the levels of a peer soon after this one's start."""
+        if now_s - self._started_s > ADOPT_LEVELS_S:
+            return
+        for name, level in levels.items():
+            customer = customers.get(name)
+            if customer is not None and customer.rate_per_s > 0:
+                bucket = self._refill(customer, now_s)
+                bucket.tokens = min(bucket.tokens, level)
+
     def take_report(
         self,
         customers: Mapping[str, CustomerQuota],
@@ -124,7 +153,9 @@
         depth = self._depth(customer) * fraction
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = _Bucket(0.0, self._started_s, rate_per_s, depth)
+            bucket = _Bucket(
+                0.0, self._started_s - RESTART_CREDIT_S, rate_per_s, depth
+            )
             self._buckets[customer.name] = bucket
         passed_s = max(0.0, now_s - bucket.updated_s)
         bucket.tokens = min(depth, bucket.tokens + passed_s * rate_per_s)
--- a/azurewick/entry/work.py
+++ b/azurewick/entry/work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import Route
@@ -17,6 +18,11 @@
 NOMINAL_PLAIN_S = 0.045
 # Weight of the newest answer in the learned output lengths.
 LENGTH_WEIGHT = 0.05
+# A request's value has a fixed part and one that grows with its size, which
+# counts an output token as much as ten prompt tokens.
+FIXED_VALUE = 0.3
+OUTPUT_TOKEN_SIZE = 10
+LARGEST_VALUE = 4.0
 # Part of the maximum that an answer takes until lengths are learned.
 DEFAULT_LENGTH_SHARE = 0.5
 
@@ -25,11 +31,13 @@
 class WorkEstimate:
     """Work of a request in seconds of the nominal engine.
 
-    first_s is the part until the first output token.
+    first_s is the part until the first output token. value is that of the
+    request against the mean of its route.
     """
 
     first_s: float
     total_s: float
+    value: float = 1.0
 
 
 class WorkEstimator:
@@ -38,6 +46,8 @@
     def __init__(self) -> None:
         # Mean of output tokens over the announced maximum, by route.
         self._length_shares: dict[str, float] = {}
+        # Mean size of the requests, by route.
+        self._sizes: dict[str, float] = {}
 
     def estimate(self, route: Route, request: CallerRequest) -> WorkEstimate:
         """Return the work of a request."""
@@ -49,7 +59,8 @@
         if output is None:
             share = self._length_shares.get(route.name, DEFAULT_LENGTH_SHARE)
             output = round(request.output_tokens * share)
-        return measure_work(request, output)
+        work = measure_work(request, output)
+        return replace(work, value=self._value(route, request))
 
     def learn(
         self, route: Route, request: CallerRequest, output_tokens: int
@@ -63,6 +74,22 @@
             share - known
         )
 
+    def _value(self, route: Route, request: CallerRequest) -> float:
+        size = request_size(request)
+        mean = self._sizes.get(route.name, size)
+        mean += LENGTH_WEIGHT * (size - mean)
+        self._sizes[route.name] = mean
+        if mean <= 0:
+            return 1.0
+        grown = FIXED_VALUE + (1 - FIXED_VALUE) * size / mean
+        return min(LARGEST_VALUE, grown)
+
+
+def request_size(request: CallerRequest) -> float:
+    """Return the size of a request in prompt tokens."""
+    prompt = request.input_tokens or 0
+    return prompt + OUTPUT_TOKEN_SIZE * request.output_tokens
+
 
 def measure_work(request: CallerRequest, output_tokens: int) -> WorkEstimate:
     """Return the work of a request with a known length of its answer."""
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -20,6 +20,7 @@
 
     def test_requests_that_end_in_time_are_taken(self):
         self.drain.start(100.0)
+        self.assertTrue(self.drain.takes(102.8, 5.0))
         self.assertTrue(self.drain.takes(103.0, 2.0))
         self.assertFalse(self.drain.takes(103.0, 4.0))
         self.assertFalse(self.drain.takes(106.5, 0.3))
--- a/tests/entry/test_quota.py
+++ b/tests/entry/test_quota.py
@@ -61,6 +61,7 @@
                     continue
                 key = receiver * self.count + sender
                 used = limiter.used()
+                other.adopt_levels(CUSTOMERS, limiter.levels(), now_s)
                 other.take_report(CUSTOMERS, self.reported[key], used, now_s)
                 self.reported[key] = used
 
@@ -87,6 +88,20 @@
         fleet.play(16.0, restart_at_s=8.0)
         self.assertLessEqual(fleet.worst_window(), ALLOWED)
 
+    def test_restart_of_all_instances_keeps_to_the_quota(self):
+        fleet = Fleet(3, seed=4)
+        fleet.play(8.0)
+        # They are back 1.8 s later.
+        later = Fleet(3, seed=5)
+        later.play(8.0)
+        fleet.passed += [(at_s + 9.8, cost) for at_s, cost in later.passed]
+        self.assertLessEqual(fleet.worst_window(), ALLOWED)
+
+    def test_restarted_instance_serves_at_once(self):
+        limiter = QuotaLimiter(TOLERANCE, lambda now_s: 1 / 3, 0.0)
+        request = build_request(input_tokens=400)
+        self.assertIsNone(limiter.take(CUSTOMER, request, 0.0))
+
     def test_instances_without_contact_keep_to_their_shares(self):
         fleet = Fleet(3, seed=3)
         fleet.is_cut = True
