Keep the directory of the instances alive and complete

Cause: the store keeps no status that comes with a new object, so that a peer could be listed without its address. Parsing the empty address ended the task of the directory for good and without a line in the log: the instance then sent no reports and no heartbeats, and all shares were wrong. Ruled out: lost or malformed datagrams; none was logged.

The status is written right after the creation, peers without a usable address are left out, and controllers are logged and started again when they fail.

--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -19,6 +19,8 @@
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
 from azurewick.helpers.address import split_address
+from azurewick.helpers.tasks import async_cancel
+from azurewick.helpers.tasks import create_supervised_task
 
 _LOGGER = getLogger(__name__)
 
@@ -104,13 +106,12 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=split_address(self._address)
         )
-        self._task = asyncio.create_task(self._async_send())
+        self._task = create_supervised_task("peer reports", self._async_send)
 
     async def async_stop(self) -> None:
         """Tell the peers that this instance leaves, and close the port."""
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await async_cancel(self._task)
         if self._transport is not None:
             self._sequence += 1
             report = self._build_report(self._sequence)
--- a/azurewick/entry/instances.py
+++ b/azurewick/entry/instances.py
@@ -12,7 +12,10 @@
 
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
+from azurewick.helpers.address import is_address
 from azurewick.helpers.clock import monotonic_s
+from azurewick.helpers.tasks import async_cancel
+from azurewick.helpers.tasks import create_supervised_task
 from azurewick.store.protocols import StatusStore
 from azurewick.store.protocols import StoredObject
 
@@ -50,11 +53,17 @@
 
     def live_peers(self, now_s: float) -> dict[str, str]:
         """Return the addresses of the other live instances by name."""
-        return {
-            name: str(status.get(ATTR_ADDRESS, ""))
-            for name, (status, changed_s) in self._known.items()
-            if now_s - changed_s < DEAD_AFTER_S and name != self._own_name
-        }
+        peers: dict[str, str] = {}
+        for name, (status, changed_s) in self._known.items():
+            address = status.get(ATTR_ADDRESS)
+            if (
+                name != self._own_name
+                and now_s - changed_s < DEAD_AFTER_S
+                and isinstance(address, str)
+                and is_address(address)
+            ):
+                peers[name] = address
+        return peers
 
 
 class InstanceDirectory:
@@ -84,14 +93,15 @@
 
     def start(self) -> None:
         """Start to send heartbeats."""
-        self._task = asyncio.create_task(self._async_run())
+        self._task = create_supervised_task(
+            "instance directory", self._async_run
+        )
 
     async def async_stop(self) -> None:
         """Stop and take this instance out of the directory."""
         if self._task is None:
             return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await async_cancel(self._task)
         try:
             async with asyncio.timeout(REMOVE_TIMEOUT_S):
                 await self._store.async_delete(self._object())
@@ -117,9 +127,8 @@
         except AzurewickError as err:
             if err.code is not ErrorCode.STORE_NOT_FOUND:
                 raise
-            await self._store.async_create(
-                KIND_INSTANCES, self._name, {}, item.status
-            )
+            await self._store.async_create(KIND_INSTANCES, self._name, {})
+            await self._store.async_update_status(item)
 
     async def _async_read(self) -> None:
         listed = await self._store.async_list(KIND_INSTANCES, allow_stale=True)
--- a/azurewick/entry/reload.py
+++ b/azurewick/entry/reload.py
@@ -12,6 +12,8 @@
 
 from azurewick.entry.settings import EntrySettings
 from azurewick.errors import AzurewickError
+from azurewick.helpers.tasks import async_cancel
+from azurewick.helpers.tasks import create_supervised_task
 
 _LOGGER = getLogger(__name__)
 
@@ -50,13 +52,14 @@
         """Start to listen for the signal and to check the file."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(SIGHUP, self.reload)
-        self._task = asyncio.create_task(self._async_check())
+        self._task = create_supervised_task(
+            "check of the settings", self._async_check
+        )
 
     async def async_stop(self) -> None:
         """Stop to check; a signal is still answered."""
         if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await async_cancel(self._task)
 
     def reload(self) -> None:
         """Load the settings and apply them."""
--- a/azurewick/entry/watches.py
+++ b/azurewick/entry/watches.py
@@ -12,6 +12,8 @@
 from azurewick.entry.backends import LAPSE_GRACE_S
 from azurewick.entry.state import FleetState
 from azurewick.helpers.clock import monotonic_s
+from azurewick.helpers.tasks import async_cancel
+from azurewick.helpers.tasks import create_supervised_task
 from azurewick.membership.watcher import StoreWatcher
 from azurewick.store.protocols import StatusStore
 from azurewick.store.protocols import StoredObject
@@ -59,15 +61,13 @@
     def start(self) -> None:
         """Start to watch."""
         self._tasks = [
-            asyncio.create_task(watcher.async_run())
+            create_supervised_task("watch of the store", watcher.async_run)
             for watcher in self._watchers
         ]
 
     async def async_stop(self) -> None:
         """Stop to watch."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await async_cancel(*self._tasks)
 
     def _build(
         self,
--- a/fakes/platform_store.py
+++ b/fakes/platform_store.py
@@ -115,7 +115,8 @@
             name = body["meta"]["name"]
             if name in self.objects.get(kind, {}):
                 raise web.HTTPConflict
-            self._store(kind, name, body["spec"], body.get("status"))
+            # A status that comes with a new object is not kept.
+            self._store(kind, name, body["spec"], None)
             return await self._async_answer(request, self.objects[kind][name])
         if "watch" in request.query:
             return await self._async_watch(request, kind)
--- /dev/null
+++ b/tests/entry/test_instances.py
@@ -0,0 +1,66 @@
+"""Tests of the directory of the entry instances."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+from unittest import TestCase
+
+from azurewick.entry.instances import DEAD_AFTER_S
+from azurewick.entry.instances import InstanceDirectory
+from azurewick.entry.instances import InstanceTable
+from azurewick.entry.instances import KIND_INSTANCES
+from azurewick.platform.store import PlatformStore
+from fakes.platform_store import FakePlatformStore
+
+
+class InstanceTableTest(TestCase):
+    """Guards against peers that are dead or have no address."""
+
+    def test_peer_without_an_address_is_left_out(self):
+        table = InstanceTable("e1")
+        table.update(
+            {
+                "e1": {"beat": 1, "address": "127.0.0.1:1"},
+                "e2": {},
+                "e3": {"beat": 1, "address": 7},
+                "e4": {"beat": 1, "address": "nowhere"},
+                "e5": {"beat": 1, "address": "127.0.0.1:5"},
+            },
+            0.0,
+        )
+        self.assertEqual({"e5": "127.0.0.1:5"}, table.live_peers(0.0))
+
+    def test_peer_without_heartbeats_is_dead(self):
+        table = InstanceTable("e1")
+        status = {"beat": 1, "address": "127.0.0.1:5"}
+        table.update({"e5": status}, 0.0)
+        table.update({"e5": status}, DEAD_AFTER_S)
+        self.assertEqual({}, table.live_peers(DEAD_AFTER_S))
+        table.update({"e5": {**status, "beat": 2}}, DEAD_AFTER_S + 1)
+        self.assertEqual(["e5"], list(table.live_peers(DEAD_AFTER_S + 1)))
+
+
+class InstanceDirectoryTest(IsolatedAsyncioTestCase):
+    """Guards against an instance that the others don't find."""
+
+    async def test_status_is_written_right_after_the_creation(self):
+        # The store keeps no status that comes with a new object.
+        fake = FakePlatformStore()
+        store = PlatformStore(await fake.async_start())
+        self.addAsyncCleanup(fake.async_stop)
+        self.addAsyncCleanup(store.async_close)
+        directory = InstanceDirectory(
+            store, "e1", "127.0.0.1:1", Random(1), lambda peers: None
+        )
+        directory.start()
+        self.addAsyncCleanup(directory.async_stop)
+        async with asyncio.timeout(2):
+            while (
+                "e1" not in fake.objects.get(KIND_INSTANCES, {})
+                or not (fake.objects[KIND_INSTANCES]["e1"]["status"])
+            ):
+                await asyncio.sleep(0.01)  # noqa: ASYNC110
+        status = fake.objects[KIND_INSTANCES]["e1"]["status"]
+        self.assertEqual("127.0.0.1:1", status["address"])
