--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -198,6 +198,7 @@
         self._gossip.set_peers(addresses)
 
     def _build_report(self, sequence: int) -> PeerReport:
+        configuration = self.state.configuration
         return PeerReport(
             name=self.settings.name,
             incarnation=self._incarnation,
@@ -209,7 +210,13 @@
                 if backend.in_flight
             },
             quota_used=self._limiter.used(),
-            quota_levels=self._limiter.levels(),
+            quota_levels=(
+                {}
+                if configuration is None
+                else self._limiter.levels(
+                    configuration.customers, monotonic_s()
+                )
+            ),
         )
 
     def _take_report(self, report: PeerReport) -> None:
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -305,7 +305,8 @@
             if size > WHOLE_ANSWER_BYTES:
                 whole = False
                 break
-        connection.raise_if_reset()
+        if head.has_no_length:
+            connection.raise_if_reset()
         length = size if whole else head.content_length
         await self._async_start(head, length)
         for data in parts:
@@ -313,7 +314,8 @@
         if not whole:
             async for data in response.content.iter_any():
                 await self._async_write(data)
-            connection.raise_if_reset()
+            if head.has_no_length:
+                connection.raise_if_reset()
 
     async def _async_relay_stream(
         self,
@@ -343,7 +345,8 @@
                 await self._async_start(head, head.content_length)
                 await self._async_write(whole)
                 self._last_event_id = splitter.last_event_id
-        connection.raise_if_reset()
+        if head.has_no_length:
+            connection.raise_if_reset()
         if self._route.is_resumable:
             await self._async_start(head, head.content_length)
             await self._async_write(splitter.rest)
--- a/azurewick/entry/instances.py
+++ b/azurewick/entry/instances.py
@@ -26,8 +26,9 @@
 ATTR_ADDRESS = "address"
 HEARTBEAT_INTERVAL_S = 3.0
 # An instance that is cut off from the store still uses its shares, so the
-# others take them over late.
-DEAD_AFTER_S = 12.0
+# others take them over only when cuts of some seconds are over. One that
+# stops tells its peers.
+DEAD_AFTER_S = 25.0
 # Time for the last call of a stopping instance.
 REMOVE_TIMEOUT_S = 0.3
 
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -15,11 +15,12 @@
 OVERRUN_SAFETY = 0.5
 
 
-# Shortest time between the end of a process and its next start.
+# Shortest time between the end of a process and its next start: what all
+# quotas gain while all instances are down.
 RESTART_CREDIT_S = 1.5
-# Time after a start in which the levels of peers are taken over. Their
-# reports come several times a second once the store has named them.
-ADOPT_LEVELS_S = 3.0
+# An instance that is older than this knows the levels; a younger one takes
+# them over.
+SETTLED_AFTER_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,7 +45,6 @@
 
     tokens: float
     updated_s: float
-    rate_per_s: float
     depth: float
     used: float = 0.0
 
@@ -53,12 +53,14 @@
     """Token bucket a customer, which all instances fill and empty together.
 
     Each instance counts what the peers report to have taken. fraction is
-    the part of the quotas that no silent peer may be using. The bucket is
-    deeper than the burst by the tolerated overrun.
-
-    What this instance used before its start at started_s isn't known. It
-    starts with what its quota has gained while it was down, and takes over
-    the lower level of a peer that has run on.
+    the part of the quotas that no silent peer may be using; the rest of a
+    bucket and of its rate is left to the silent ones. The bucket is deeper
+    than the burst by a part of the tolerated overrun.
+
+    What was used before the start at started_s isn't known. The limiter
+    starts with what the quotas have gained while all instances were down
+    and with the rest of the overrun, and takes over the levels of a peer
+    that has run on.
     """
 
     def __init__(
@@ -80,15 +82,16 @@
             return None
         cost = request_cost(customer, request)
         bucket = self._refill(customer, now_s)
+        fraction = self._fraction(now_s)
         # A request larger than the bucket passes when the bucket is full.
-        needed = min(cost, bucket.depth)
-        if bucket.tokens >= needed:
+        needed = min(cost, bucket.depth * fraction)
+        missing = needed + (1 - fraction) * bucket.depth - bucket.tokens
+        if missing <= 0:
             bucket.tokens -= cost
             bucket.used += cost
             return None
-        if bucket.rate_per_s <= 0:
-            return inf
-        return (needed - bucket.tokens) / bucket.rate_per_s
+        rate_per_s = customer.rate_per_s * fraction
+        return missing / rate_per_s if rate_per_s > 0 else inf
 
     def give_back(self, customer: CustomerQuota, cost: float) -> None:
         """Return the cost of a request that hasn't run."""
@@ -105,9 +108,17 @@
             if bucket.used
         }
 
-    def levels(self) -> dict[str, float]:
-        """Return the tokens that all instances together have left."""
-        return {name: one.tokens for name, one in self._buckets.items()}
+    def levels(
+        self, customers: Mapping[str, CustomerQuota], now_s: float
+    ) -> dict[str, float]:
+        """Return what is left, once this instance knows it."""
+        if now_s - self._started_s < SETTLED_AFTER_S:
+            return {}
+        return {
+            name: self._refill(customers[name], now_s).tokens
+            for name in self._buckets
+            if name in customers
+        }
 
     def adopt_levels(
         self,
@@ -116,13 +127,12 @@
         now_s: float,
     ) -> None:
         """Take over the levels of a peer soon after this one's start."""
-        if now_s - self._started_s > ADOPT_LEVELS_S:
+        if now_s - self._started_s > SETTLED_AFTER_S:
             return
         for name, level in levels.items():
             customer = customers.get(name)
             if customer is not None and customer.rate_per_s > 0:
-                bucket = self._refill(customer, now_s)
-                bucket.tokens = min(bucket.tokens, level)
+                self._refill(customer, now_s).tokens = level
 
     def take_report(
         self,
@@ -138,29 +148,29 @@
                 bucket = self._refill(customer, now_s)
                 bucket.tokens -= used - before.get(name, 0.0)
 
-    def _depth(self, customer: CustomerQuota) -> float:
+    def _overrun(self, customer: CustomerQuota) -> float:
         tolerance = self.tolerance
         overrun = tolerance.overage * (
             customer.rate_per_s * tolerance.window_s + customer.burst
         )
         if customer.counts_tokens:
             overrun += tolerance.allowance
-        return customer.burst + OVERRUN_SAFETY * overrun
+        return overrun
 
     def _refill(self, customer: CustomerQuota, now_s: float) -> _Bucket:
-        fraction = self._fraction(now_s)
-        rate_per_s = customer.rate_per_s * fraction
-        depth = self._depth(customer) * fraction
+        overrun = self._overrun(customer)
+        depth = customer.burst + OVERRUN_SAFETY * overrun
         bucket = self._buckets.get(customer.name)
         if bucket is None:
+            gained = customer.rate_per_s * RESTART_CREDIT_S
             bucket = _Bucket(
-                0.0, self._started_s - RESTART_CREDIT_S, rate_per_s, depth
+                gained + (1 - OVERRUN_SAFETY) * overrun, self._started_s, depth
             )
             self._buckets[customer.name] = bucket
         passed_s = max(0.0, now_s - bucket.updated_s)
+        rate_per_s = customer.rate_per_s * self._fraction(now_s)
         bucket.tokens = min(depth, bucket.tokens + passed_s * rate_per_s)
         bucket.updated_s = now_s
-        bucket.rate_per_s = rate_per_s
         bucket.depth = depth
         return bucket
 
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -168,6 +168,12 @@
         err = await self.async_fail(ONCE, replies_then_resets(unframed))
         self.assertEqual(502, err.http_status)
 
+    async def test_reset_after_a_whole_answer_changes_nothing(self):
+        whole = STREAM_HEAD + chunk(b"id: 1\n\n") + b"0\r\n\r\n"
+        for route in (ONCE, STREAM, RESUMABLE):
+            await self.async_run(route, replies_then_resets(whole))
+            self.assertEqual(b"id: 1\n\n", self.stand.writer.body)
+
     async def test_bytes_after_the_answer_are_left_out(self):
         await self.async_run(ONCE, replies(answer() + answer(body=b"more")))
         self.assertEqual(b"whole", self.stand.writer.body)
