--- /dev/null
+++ b/azurewick/cli/explain.py
@@ -0,0 +1,143 @@
+"""Command that tells from the logs what happened to a request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+from typing import Any
+
+import orjson
+import typer
+
+from azurewick.cli.const import ExitCode
+from azurewick.errors import ErrorCode
+
+OUTCOME_OK = "ok"
+OUTCOME_BROKEN = "broken"
+OUTCOME_CALLER_LEFT = "caller_left"
+
+# What each outcome of an entry instance means, in one sentence.
+MEANINGS: dict[str, str] = {
+    OUTCOME_OK: "the caller got the backend server's whole answer",
+    OUTCOME_BROKEN: "the answer broke on its way and was ended as broken",
+    OUTCOME_CALLER_LEFT: "the caller closed its connection first",
+    ErrorCode.OVERLOADED: (
+        "it has not run: no backend server would have been free in time"
+    ),
+    ErrorCode.RATE_LIMITED: "it has not run: its customer is above its quota",
+    ErrorCode.UNKNOWN_KEY: (
+        "it has not run: no customer of this configuration has its API key"
+    ),
+    ErrorCode.UNKNOWN_ROUTE: (
+        "it has not run: no route of this configuration serves its path"
+    ),
+    ErrorCode.NOT_READY: (
+        "it has not run: the instance had no configuration yet"
+    ),
+    ErrorCode.DRAINING: "it has not run: the instance was shutting down",
+    ErrorCode.OUTCOME_UNKNOWN: (
+        "it was dispatched and may have run: no answer came in time"
+    ),
+    ErrorCode.BACKEND_FAILED: (
+        "it was dispatched and may have run: the answer broke"
+    ),
+    ErrorCode.BACKEND_UNREACHABLE: (
+        "it has not run: the backend server took no connection"
+    ),
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogLine:
+    """Line of a process's log with its file and number."""
+
+    file: Path
+    number: int
+    fields: dict[str, Any]
+
+
+def read_lines(file: Path) -> Iterator[LogLine | int]:
+    """Yield the lines of a file; the number of each damaged one.
+
+    Text before the JSON of a line, such as a time or a host, is left out.
+    Raises OSError when the file can't be read.
+    """
+    with file.open("rb") as stream:
+        for number, raw in enumerate(stream, 1):
+            start = raw.find(b"{")
+            if start < 0:
+                continue
+            try:
+                fields = orjson.loads(raw[start:])
+            except ValueError:
+                yield number
+                continue
+            if isinstance(fields, dict):
+                yield LogLine(file=file, number=number, fields=fields)
+
+
+def find_request(lines: Iterable[LogLine], request_id: str) -> list[LogLine]:
+    """Return the lines about a request in the order of their times."""
+    found = [
+        line for line in lines if line.fields.get("request_id") == request_id
+    ]
+    return sorted(found, key=lambda line: str(line.fields.get("asctime", "")))
+
+
+def describe_line(line: LogLine) -> str:
+    """Return what a line says about its request, in one sentence."""
+    fields = line.fields
+    outcome = str(fields.get("outcome", ""))
+    meaning = MEANINGS.get(outcome, f"it ended with {outcome or 'no outcome'}")
+    attempts = fields.get("attempts") or []
+    tried = ", ".join(
+        f"{one.get('server')} after {one.get('sent_s')} s"
+        f" ({one.get('outcome')})"
+        for one in attempts
+        if isinstance(one, dict)
+    )
+    parts = [
+        f"{fields.get('asctime')} {line.file}:{line.number}",
+        f"route {fields.get('route') or 'none'}",
+        f"customer {fields.get('customer') or 'none'}",
+        f"configuration {fields.get('configuration_version')}",
+        f"dispatched to {tried}" if tried else "not dispatched",
+    ]
+    reason = fields.get("reason")
+    suffix = f" [{reason}]" if reason else ""
+    return f"{'; '.join(parts)}: {meaning}{suffix}"
+
+
+def explain_request(
+    request_id: Annotated[str, typer.Argument(help="Id of the request.")],
+    files: Annotated[
+        list[Path], typer.Argument(help="Logs of the entry instances.")
+    ],
+) -> None:
+    """Tell from the logs of the instances what happened to a request.
+
+    Example: azurewick explain 9c41d07be2a35f68 logs/edge-*.log
+    """
+    lines: list[LogLine] = []
+    for file in files:
+        try:
+            for line in read_lines(file):
+                if isinstance(line, int):
+                    typer.echo(f"{file}:{line}: damaged line", err=True)
+                else:
+                    lines.append(line)
+        except OSError as err:
+            typer.echo(f"can't read {file}: {err.strerror}", err=True)
+            raise typer.Exit(ExitCode.INVALID_INPUT) from err
+    found = find_request(lines, request_id)
+    if not found:
+        typer.echo(
+            f"no line about request {request_id} in {len(files)} files",
+            err=True,
+        )
+        raise typer.Exit(ExitCode.NOT_FOUND)
+    for line in found:
+        typer.echo(describe_line(line))
--- a/azurewick/cli/main.py
+++ b/azurewick/cli/main.py
@@ -12,6 +12,7 @@
 from azurewick.cli.const import ENVIRONMENT_SETTINGS
 from azurewick.cli.context import CommandContext
 from azurewick.cli.context import OutputFormat
+from azurewick.cli.explain import explain_request
 from azurewick.cli.status import show_status
 from azurewick.cli.target import app as target_app
 from azurewick.cli.version import app as version_app
@@ -24,6 +25,7 @@
 app.add_typer(target_app, name="target")
 app.add_typer(version_app, name="version")
 app.command("status")(show_status)
+app.command("explain")(explain_request)
 
 
 @app.callback()
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,80 @@
+"""Tests of the command that explains a request from the logs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+import orjson
+from typer.testing import CliRunner
+
+from azurewick.cli.const import ExitCode
+from azurewick.cli.main import app
+
+REFUSED = {
+    "asctime": "2026-12-04 10:00:02,000",
+    "message": "request ended",
+    "request_id": "id-1",
+    "route": "r-1",
+    "customer": "north",
+    "outcome": "overloaded",
+    "attempts": [],
+    "configuration_version": 7,
+    "reason": "overloaded: line is too long (step queue)",
+}
+UNKNOWN = {
+    **REFUSED,
+    "asctime": "2026-12-04 10:00:01,000",
+    "request_id": "id-2",
+    "outcome": "backend_failed",
+    "attempts": [{"server": "s1", "sent_s": 0.1, "outcome": "backend_failed"}],
+}
+
+
+class ExplainTest(TestCase):
+    """Guards against a cause that can't be found from an id."""
+
+    def setUp(self):
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def write(self, name: str, *lines: bytes) -> str:
+        path = self.folder / name
+        path.write_bytes(b"\n".join(lines) + b"\n")
+        return str(path)
+
+    def run_command(self, *arguments: str):
+        return CliRunner().invoke(app, ["explain", *arguments])
+
+    def test_refusal_says_that_it_has_not_run(self):
+        file = self.write("a", orjson.dumps(REFUSED))
+        result = self.run_command("id-1", file)
+        self.assertEqual(0, result.exit_code)
+        self.assertIn("has not run", result.output)
+        self.assertIn("configuration 7", result.output)
+
+    def test_lines_of_several_files_come_in_order(self):
+        later = {**UNKNOWN, "asctime": "2026-12-04 10:00:09,000"}
+        first = self.write("a", b"  1.5 edge-1 " + orjson.dumps(later))
+        second = self.write("b", orjson.dumps(UNKNOWN))
+        lines = self.run_command("id-2", first, second).output.splitlines()
+        self.assertIn("10:00:01", lines[0])
+        self.assertIn("10:00:09", lines[1])
+        self.assertIn("s1 after 0.1 s", lines[0])
+
+    def test_damaged_line_is_named_and_the_rest_is_read(self):
+        file = self.write("a", b'{"request_id', orjson.dumps(REFUSED))
+        result = self.run_command("id-1", file)
+        self.assertEqual(0, result.exit_code)
+        self.assertIn(":1: damaged line", result.output)
+
+    def test_missing_file_and_unknown_id(self):
+        result = self.run_command("id-1", str(self.folder / "none"))
+        self.assertEqual(ExitCode.INVALID_INPUT, result.exit_code)
+        self.assertIn("can't read", result.output)
+        file = self.write("a", orjson.dumps(REFUSED))
+        result = self.run_command("id-9", file)
+        self.assertEqual(ExitCode.NOT_FOUND, result.exit_code)
+        self.assertIn("id-9", result.output)
