--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -136,7 +136,8 @@
             b"{}",
             b'{"n":1,"i":1,"s":1,"l":false,"w":1,"f":{},"q":{},"t":{}}',
             b'{"n":"e","i":1,"s":1,"l":false,"w":1,"f":[],"q":{},"t":{}}',
-            b'{"n":"e","i":1,"s":1,"l":false,"w":1,"f":{"a":"x"},"q":{},"t":{}}',
+            b'{"n":"e","i":1,"s":1,"l":false,"w":1,"f":{"a":"x"},"q":{},'
+            b'"t":{}}',
         ):
             with self.subTest(data), self.assertRaises(AzurewickError):
                 decode_report(data)
