Tell a caller that has left from a failing server; remove what nothing uses

Found by reading: a write to a caller's closed connection raises an error that the exchange took for one of the backend server, which counted towards its ejection and could repeat the request.

--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -40,7 +40,6 @@
     ejections: int = 0
     ejected_until_s: float = 0.0
     pace: float = 1.0
-    missing_since_s: float | None = None
 
     @property
     def name(self) -> str:
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -54,8 +54,15 @@
 RETRY_AFTER_S = 1.0
 
 
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
 class AnswerWriter(Protocol):
-    """Caller's side of an exchange."""
+    """Caller's side of an exchange.
+
+    Both methods raise CallerGoneError when the caller has left.
+    """
 
     async def async_start(self, head: AnswerHead, length: int | None) -> None:
         """Send the head of the answer."""
--- a/azurewick/entry/handler.py
+++ b/azurewick/entry/handler.py
@@ -19,6 +19,7 @@
 from azurewick.entry.drain import Drain
 from azurewick.entry.exchange import AttemptTrace
 from azurewick.entry.exchange import BrokenAnswerError
+from azurewick.entry.exchange import CallerGoneError
 from azurewick.entry.exchange import Exchange
 from azurewick.entry.exchange import ExchangeTrace
 from azurewick.entry.metrics import EntryMetrics
@@ -58,12 +59,19 @@
         if self._drain.is_active:
             response.force_close()
         self.response = response
-        await response.prepare(self._http)
+        try:
+            await response.prepare(self._http)
+        except ConnectionError as err:
+            raise CallerGoneError from err
 
     async def async_write(self, data: bytes) -> None:
         """Send a part of the body."""
         assert self.response is not None
-        await self.response.write(data)
+        try:
+            await self.response.write(data)
+        except ConnectionError as err:
+            # Not to be taken for an error of the backend server.
+            raise CallerGoneError from err
 
 
 class EntryHandler:
@@ -136,7 +144,7 @@
         except BrokenAnswerError as err:
             self._record(context, trace, CODE_BROKEN, err.__cause__)
             _abort(http)
-        except (CancelledError, ConnectionError) as err:
+        except (CancelledError, ConnectionError, CallerGoneError) as err:
             self._record(context, trace, CODE_CALLER_LEFT, err)
             raise CancelledError from err
 
--- a/azurewick/entry/models.py
+++ b/azurewick/entry/models.py
@@ -218,7 +218,6 @@
 
     status: int
     is_rejection: bool = False
-    is_misdirected: bool = False
     is_foreign: bool = False
     is_signed: bool = False
     is_encoded: bool = False
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -128,15 +128,15 @@
             del self._left[report.name]
             self.set_members((*self._members, report.name))
         known = self._peers.get(report.name)
-        self_or_before = report
+        before_or_same = report
         if known is not None and (
             known.report.incarnation == report.incarnation
         ):
             if report.sequence <= known.report.sequence:
                 return None
-            self_or_before = known.report
+            before_or_same = known.report
         self._peers[report.name] = _Peer(report, now_s)
-        return self_or_before
+        return before_or_same
 
     def places(self, total: int, backend: str, now_s: float) -> int:
         """Return how many of a backend server's places are ours to use.
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -43,8 +43,8 @@
     """Places at the server with the least load for its speed.
 
     Each instance uses the places that its peers leave, and at least its
-    share. Engines admit requests in the order of
-    arrival: beyond their slots, urgent requests would wait behind others.
+    share. Engines admit requests in the order of arrival: beyond their
+    slots, urgent requests would wait behind others.
     """
 
     def __init__(
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -13,8 +13,6 @@
 # Part of the tolerated overrun that instances use together. The rest covers
 # instances that have just started and those that count each other late.
 OVERRUN_SAFETY = 0.5
-
-
 # Shortest time between the end of a process and its next start: what all
 # quotas gain while all instances are down.
 RESTART_CREDIT_S = 1.5
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -25,7 +25,6 @@
     store_address: str
     regions: Mapping[str, str] = field(default_factory=dict)
     metrics_address: str | None = None
-    memory_bytes: int = 256_000_000
     max_connections: int = 600
     grace_s: float = 8.0
     retry_ratio: float = 0.2
@@ -34,5 +33,3 @@
     quota_window_s: float = 8.0
     quota_overage: float = 0.0
     quota_allowance: float = 0.0
-    exposure_share: float = 0.1
-    exposure_allowance: float = 0.0
--- a/azurewick/platform/const.py
+++ b/azurewick/platform/const.py
@@ -10,7 +10,6 @@
 # Time that the caller still waits, in milliseconds.
 HEADER_DEADLINE: Final = "X-Deadline-Ms"
 HEADER_EXPECT_INSTANCE: Final = "X-Expect-Instance"
-HEADER_INSTANCE_ID: Final = "X-Instance-Id"
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
 HEADER_LENGTH_HINT: Final = "X-Length-Hint"
 HEADER_MODEL: Final = "X-Model"
@@ -61,6 +60,5 @@
 STATUS_MISDIRECTED: Final = 421
 
 KIND_CONFIGURATION: Final = "config"
-NAME_CONFIGURATION: Final = "main"
 KIND_SERVERS: Final = "servers"
 KIND_ROLLOUTS: Final = "rollouts"
--- a/azurewick/platform/documents.py
+++ b/azurewick/platform/documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
 from typing import Literal
 from typing import TypeVar
 
@@ -31,7 +30,6 @@
 
 _Wire = TypeVar("_Wire", bound=BaseModel)
 
-STATE_READY = "ready"
 STATE_DRAINING = "draining"
 
 
@@ -218,13 +216,6 @@
     )
 
 
-def encode_rollout_status(
-    state: MoveState, target_version: str
-) -> dict[str, Any]:
-    """Return the status of a version move as the platform reads it."""
-    return {"state": state.value, "target": target_version}
-
-
 def _build_route(wire: RouteWire) -> Route:
     services = tuple(
         WeightedService(name=one.service, weight=one.weight)
--- a/azurewick/platform/requests.py
+++ b/azurewick/platform/requests.py
@@ -98,7 +98,6 @@
                 HEADER_NOT_EXECUTED in headers
                 or response.status == STATUS_MISDIRECTED
             ),
-            is_misdirected=response.status == STATUS_MISDIRECTED,
             is_foreign=echoed_id is not None and echoed_id != request_id,
             is_signed=HEADER_SIGNATURE in headers,
             is_encoded="Content-Encoding" in headers,
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -36,7 +36,6 @@
 class LimitsTable(NodeModel):
     """Limits of the instance."""
 
-    memory_mb: float = Field(default=256.0, gt=0)
     max_fds: int = Field(default=1024, gt=0)
 
 
@@ -51,8 +50,6 @@
     quota_window_s: float = Field(default=8.0, gt=0)
     quota_overage: float = Field(default=0.0, ge=0)
     quota_slack: float = Field(default=0.0, ge=0)
-    exposure_share: float = Field(default=0.1, ge=0, le=1)
-    exposure_slack: float = Field(default=0.0, ge=0)
 
 
 class StoreTable(NodeModel):
@@ -103,7 +100,6 @@
         metrics_address=f"{host}:{first_port}",
         peer_address=f"{host}:{first_port + 1}",
         store_address=node.platform.addr,
-        memory_bytes=int(node.limits.memory_mb * 1_000_000),
         max_connections=int(node.limits.max_fds * CONNECTION_SHARE),
         grace_s=bounds.grace_s,
         retry_ratio=bounds.retry_ratio,
@@ -112,8 +108,6 @@
         quota_window_s=bounds.quota_window_s,
         quota_overage=bounds.quota_overage,
         quota_allowance=bounds.quota_slack,
-        exposure_share=bounds.exposure_share,
-        exposure_allowance=bounds.exposure_slack,
     )
 
 
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -6,6 +6,7 @@
 from unittest import IsolatedAsyncioTestCase
 
 from azurewick.entry.exchange import BrokenAnswerError
+from azurewick.entry.exchange import CallerGoneError
 from azurewick.entry.models import RouteKind
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -187,6 +188,26 @@
         self.assertTrue(head.startswith(b"post /quotes/2f?a=1 http/1.1\r\n"))
 
 
+class CallerTest(ExchangeCase):
+    """Guards against failures of callers that count for servers."""
+
+    async def test_caller_that_left_is_no_failure_of_the_server(self):
+        servers = [RawServer("s1", replies(answer()))] * 2
+        self.stand = ExchangeStand(servers)
+        await self.stand.async_start()
+        self.addAsyncCleanup(self.stand.async_stop)
+
+        async def async_gone(*arguments):
+            raise CallerGoneError
+
+        self.stand.writer.async_write = async_gone
+        with self.assertRaises(CallerGoneError):
+            await self.stand.build(build_route()).async_run()
+        self.assertEqual(1, len(servers[0].requests))
+        self.assertEqual(0, self.stand.backends[0].failures)
+        self.assertEqual(0, self.stand.backends[0].in_flight)
+
+
 class StreamTest(ExchangeCase):
     """Guards against streams with missing, doubled or joined parts."""
 
