--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -18,9 +18,9 @@
 FAILURES_UNTIL_EJECTED = 3
 # Weight of the newest measurement in the averages of a server.
 AVERAGE_WEIGHT = 0.2
-# Bounds of the learned pace: one odd answer must not rule a server out.
-FASTEST_PACE = 0.1
-SLOWEST_PACE = 30.0
+# Bounds of the learned slowdown: one odd answer must not rule a server out.
+SMALLEST_SLOWDOWN = 0.1
+LARGEST_SLOWDOWN = 30.0
 # Servers that lapsed with the store's outage are listed again within two
 # seconds of its return.
 LAPSE_GRACE_S = 2.2
@@ -30,8 +30,8 @@
 class Backend:
     """Backend server with what this instance has learned about it.
 
-    pace is the moving average of the time of its answers against that of
-    the nominal server; a slow server has a pace above 1.
+    slowdown is the moving average of the time of its answers against that of
+    the nominal server; a slow server has a slowdown above 1.
     """
 
     entry: BackendEntry
@@ -39,7 +39,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until_s: float = 0.0
-    pace: float = 1.0
+    slowdown: float = 1.0
 
     @property
     def name(self) -> str:
@@ -60,10 +60,12 @@
         self.failures = 0
         self.ejections = 0
 
-    def record_pace(self, took_s: float, nominal_s: float) -> None:
+    def record_slowdown(self, took_s: float, nominal_s: float) -> None:
         """Take the time of an answer against that of the nominal server."""
-        pace = min(SLOWEST_PACE, max(FASTEST_PACE, took_s / nominal_s))
-        self.pace += AVERAGE_WEIGHT * (pace - self.pace)
+        slowdown = min(
+            LARGEST_SLOWDOWN, max(SMALLEST_SLOWDOWN, took_s / nominal_s)
+        )
+        self.slowdown += AVERAGE_WEIGHT * (slowdown - self.slowdown)
 
     def record_failure(self, now_s: float, *, is_unreachable: bool) -> bool:
         """Count a failure; return whether the server is ejected by it."""
--- a/azurewick/entry/context.py
+++ b/azurewick/entry/context.py
@@ -6,11 +6,11 @@
 
 from aiohttp.web import BaseRequest
 
-from azurewick.entry.line import Rank
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import CustomerQuota
 from azurewick.entry.models import FleetConfiguration
 from azurewick.entry.models import Route
+from azurewick.entry.request_queue import Rank
 
 
 @dataclass(kw_only=True, slots=True)
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -1,4 +1,4 @@
-"""Waiting requests and the places at backend servers."""
+"""Waiting requests and the slots at backend servers."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 from azurewick.entry.admission import ArrivalRates
 from azurewick.entry.admission import predict_wait_s
 from azurewick.entry.backends import Backend
-from azurewick.entry.line import Demand
-from azurewick.entry.line import Waiter
-from azurewick.entry.line import WaitingLine
 from azurewick.entry.peers import DemandMeter
 from azurewick.entry.placement import Placement
+from azurewick.entry.request_queue import Demand
+from azurewick.entry.request_queue import RequestQueue
+from azurewick.entry.request_queue import Waiter
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
@@ -30,7 +30,7 @@
 
 
 class Dispatcher:
-    """Gives the servers of one service to requests in the line's order."""
+    """Gives the servers of one service to requests in the queue's order."""
 
     def __init__(
         self,
@@ -43,19 +43,19 @@
         self._placement = placement
         self._meter = meter
         self._clock = clock
-        self._line: WaitingLine[Future[Backend]] = WaitingLine()
+        self._queue: RequestQueue[Future[Backend]] = RequestQueue()
         self._rates = ArrivalRates()
 
     @property
     def waiting(self) -> int:
         """Return the number of waiting requests."""
-        return len(self._line)
+        return len(self._queue)
 
     async def async_acquire(self, demand: Demand) -> Backend:
-        """Return a server with a place taken; call release afterwards.
+        """Return a server with a slot taken; call release afterwards.
 
         Raises AzurewickError with code overloaded: at once when the request
-        would miss its target in the line, or later when it does so against
+        would miss its target in the queue, or later when it does so against
         the prediction.
         """
         now_s = self._clock()
@@ -71,8 +71,8 @@
         self._rates.add(waiter.urgency, demand.work.total_s, now_s)
         self._meter.add(demand.work.total_s, now_s)
         if wait_s > budget_s:
-            raise _refuse("line is too long", wait_s)
-        self._line.add(waiter)
+            raise _refuse("queue is too long", wait_s)
+        self._queue.add(waiter)
         self.fill()
         try:
             async with timeout_at(loop.time() + budget_s):
@@ -87,32 +87,32 @@
             self._return_unused(waiter)
             raise
         finally:
-            self._line.remove(waiter)
+            self._queue.remove(waiter)
 
     def release(self, backend: Backend) -> None:
-        """Give a place back."""
+        """Give a slot back."""
         backend.in_flight -= 1
         self.fill()
 
     def fill(self) -> None:
-        """Give the free places to waiting requests."""
-        if not len(self._line):
+        """Give the free slots to waiting requests."""
+        if not len(self._queue):
             return
         now_s = self._clock()
         candidates = self._candidates()
-        for waiter in self._line.in_order():
+        for waiter in self._queue.in_order():
             backend = self._placement.choose(candidates, waiter.demand, now_s)
             if backend is None:
                 if not waiter.demand.excluded:
                     return
                 continue
             backend.in_flight += 1
-            self._line.remove(waiter)
+            self._queue.remove(waiter)
             waiter.payload.set_result(backend)
 
     def _predict_wait_s(self, urgency: float, now_s: float) -> float:
         return predict_wait_s(
-            self._line.work_ahead_s(urgency),
+            self._queue.work_ahead_s(urgency),
             self._placement.capacity(self._candidates(), now_s),
             self._rates.above(urgency, now_s),
         )
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -16,14 +16,14 @@
 from azurewick.entry.backends import Backend
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.events import EventSplitter
-from azurewick.entry.line import Demand
-from azurewick.entry.line import Rank
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendCall
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import Route
 from azurewick.entry.patience import CallerPatience
 from azurewick.entry.protocols import WireProtocol
+from azurewick.entry.request_queue import Demand
+from azurewick.entry.request_queue import Rank
 from azurewick.entry.work import measure_work
 from azurewick.entry.work import NOMINAL_PLAIN_S
 from azurewick.entry.work import WorkEstimator
@@ -375,10 +375,10 @@
             await self._writer.async_write(data)
 
     def _learn(self, backend: Backend, sent_s: float, events: int) -> None:
-        """Learn the pace and the length from a complete stream."""
+        """Learn the slowdown and the length from a complete stream."""
         tokens = events * self._parts.tokens_per_event()
         self._parts.work.learn(self._route, self._request, tokens)
-        backend.record_pace(
+        backend.record_slowdown(
             self._parts.clock() - sent_s,
             measure_work(self._request, tokens).total_s,
         )
@@ -392,7 +392,7 @@
             return
         backend.record_success()
         if not self._route.is_stream:
-            backend.record_pace(now_s - sent_s, NOMINAL_PLAIN_S)
+            backend.record_slowdown(now_s - sent_s, NOMINAL_PLAIN_S)
 
     def _first_byte_timeout_s(self) -> float | None:
         if self._route.is_stream:
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -22,7 +22,7 @@
 KEPT_PART = 0.6
 # Requests beyond its slots that an engine may get when an instance takes its
 # share from one that has borrowed.
-OVERCOMMIT_PLACES = 1
+OVERCOMMIT_SLOTS = 1
 # Work a second that is added to each instance's demand, so that the first
 # few requests don't decide the shares.
 PRIOR_WORK = 0.5
@@ -138,8 +138,8 @@
         self._peers[report.name] = _Peer(report, now_s)
         return before_or_same
 
-    def places(self, total: int, backend: str, now_s: float) -> int:
-        """Return how many of a backend server's places are ours to use.
+    def available_slots(self, total: int, backend: str, now_s: float) -> int:
+        """Return how many of a backend server's slots are ours to use.
 
         All that the others neither use nor may soon need, and at least our
         own share.
@@ -161,7 +161,7 @@
             total - reserved,
             min(
                 _share(weights, own, total, backend),
-                max(1, total + OVERCOMMIT_PLACES - in_flight),
+                max(1, total + OVERCOMMIT_SLOTS - in_flight),
             ),
         )
 
@@ -210,7 +210,7 @@
 def _share(
     weights: list[float], own_index: int, total: int, backend: str
 ) -> int:
-    """Return one instance's part of a number of places.
+    """Return one instance's part of a number of slots.
 
     The parts of all instances add up to the total. The backend server's
     name decides where the rounding starts, so that the remainders spread.
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -8,8 +8,8 @@
 from typing import Protocol
 
 from azurewick.entry.backends import Backend
-from azurewick.entry.line import Demand
 from azurewick.entry.peers import PeerView
+from azurewick.entry.request_queue import Demand
 
 # Plain services queue a few requests beyond their slots, which costs less
 # than a refusal.
@@ -33,7 +33,7 @@
         demand: Demand,
         now_s: float,
     ) -> Backend | None:
-        """Return a server with a free place, or None."""
+        """Return a server with a free slot, or None."""
 
     def capacity(self, candidates: Sequence[Backend], now_s: float) -> float:
         """Return the nominal work a second that this instance may place."""
@@ -42,7 +42,7 @@
 class LeastLoadPlacement:
     """Places at the server with the least load for its speed.
 
-    Each instance uses the places that its peers leave, and at least its
+    Each instance uses the slots that its peers leave, and at least its
     share. Engines admit requests in the order of arrival: beyond their
     slots, urgent requests would wait behind others.
     """
@@ -67,12 +67,12 @@
         total = entry.slots
         if not backend.is_engine:
             total = round(total * PLAIN_SHARE_MARGIN)
-        return self._peers.places(total, entry.name, now_s)
+        return self._peers.available_slots(total, entry.name, now_s)
 
     def capacity(self, candidates: Sequence[Backend], now_s: float) -> float:
         """Return the nominal work a second that this instance may place."""
         return sum(
-            self.limit(backend, now_s) / backend.pace
+            self.limit(backend, now_s) / backend.slowdown
             for backend in candidates
             if backend.is_available(now_s)
         )
@@ -83,7 +83,7 @@
         demand: Demand,
         now_s: float,
     ) -> Backend | None:
-        """Return a server with a free place, or None.
+        """Return a server with a free slot, or None.
 
         Servers that can meet the target go first, then those that can end
         the answer before the caller leaves.
@@ -97,20 +97,24 @@
         ]
         if not free:
             return None
-        mean_pace = sum(one.pace for one in candidates) / len(candidates)
+        mean_slowdown = sum(one.slowdown for one in candidates) / len(
+            candidates
+        )
         return min(
             free,
             key=lambda backend: (
                 _is_late(backend, demand, now_s),
                 _is_cut(backend, demand, now_s),
-                self._cost(backend, mean_pace, now_s),
+                self._cost(backend, mean_slowdown, now_s),
                 self._random.random(),
             ),
         )
 
-    def _cost(self, backend: Backend, mean_pace: float, now_s: float) -> float:
+    def _cost(
+        self, backend: Backend, mean_slowdown: float, now_s: float
+    ) -> float:
         load = (backend.in_flight + 1) / self.limit(backend, now_s)
-        return load * backend.pace / mean_pace + self._distance(
+        return load * backend.slowdown / mean_slowdown + self._distance(
             backend.entry.failure_domain
         )
 
@@ -124,11 +128,11 @@
 
 def _is_late(backend: Backend, demand: Demand, now_s: float) -> bool:
     """Return whether a server would miss a target that others may meet."""
-    first_s = demand.work.first_s * backend.pace
+    first_s = demand.work.first_s * backend.slowdown
     return now_s + first_s > demand.target_s
 
 
 def _is_cut(backend: Backend, demand: Demand, now_s: float) -> bool:
     """Return whether the answer would hardly end in time."""
-    total_s = demand.work.total_s * backend.pace
+    total_s = demand.work.total_s * backend.slowdown
     return total_s > RUN_TIME_SHARE * (demand.ends_s - now_s)
--- a/azurewick/entry/line.py
+++ b/azurewick/entry/request_queue.py
@@ -69,7 +69,7 @@
     arrived_s: float
 
 
-class WaitingLine(Generic[_Payload]):
+class RequestQueue(Generic[_Payload]):
     """Requests that wait for a server, the most urgent one first."""
 
     def __init__(self) -> None:
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -98,16 +98,16 @@
 
     def expect_run_s(self, route: Route, request: CallerRequest) -> float:
         """Return how long a request is expected to run at a server."""
-        paces = [
-            backend.pace
+        slowdowns = [
+            backend.slowdown
             for service in route.services
             for backend in self._candidates(service.name)
         ]
-        pace = max(paces, default=1.0)
-        return self._work.estimate(route, request).total_s * pace
+        slowdown = max(slowdowns, default=1.0)
+        return self._work.estimate(route, request).total_s * slowdown
 
     def fill(self) -> None:
-        """Give free places to waiting requests."""
+        """Give free slots to waiting requests."""
         for parts in self._parts.values():
             parts.dispatcher.fill()
 
--- a/azurewick/entry/work.py
+++ b/azurewick/entry/work.py
@@ -1,4 +1,4 @@
-"""Estimates of the work of requests and of the pace of servers."""
+"""Estimates of the work of requests and of the slowdown of servers."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 # Nominal engine: time to the first token of an empty prompt, to read one
 # prompt token and to make one output token in a full batch. Each server's
-# pace is learned against it, so that only their proportions matter.
+# slowdown is learned against it, so that only their proportions matter.
 NOMINAL_FIRST_S = 0.06
 NOMINAL_PREFILL_S = 0.000008
 NOMINAL_OUTPUT_S = 0.0042
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -18,7 +18,6 @@
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.exchange import Exchange
 from azurewick.entry.exchange import ExchangeParts
-from azurewick.entry.line import Demand
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendEntry
 from azurewick.entry.models import CallerRequest
@@ -30,6 +29,7 @@
 from azurewick.entry.peers import DemandMeter
 from azurewick.entry.peers import PeerView
 from azurewick.entry.placement import LeastLoadPlacement
+from azurewick.entry.request_queue import Demand
 from azurewick.entry.work import WorkEstimate
 from azurewick.entry.work import WorkEstimator
 from azurewick.helpers.clock import monotonic_s
--- a/tests/entry/test_backends.py
+++ b/tests/entry/test_backends.py
@@ -36,17 +36,19 @@
         self.assertEqual(["s2"], self.names())
 
     def test_known_server_keeps_what_was_learned(self):
-        self.registry.of_service("models")[0].pace = 3.0
+        self.registry.of_service("models")[0].slowdown = 3.0
         self.update([build_entry("s1", is_draining=True)], 1.0)
         backend = self.registry.of_service("models")[0]
-        self.assertEqual(3.0, backend.pace)
+        self.assertEqual(3.0, backend.slowdown)
         self.assertFalse(backend.is_available(1.0))
 
     def test_restart_under_the_same_name_starts_anew(self):
         for change in ({"started_ms": 7}, {"address": "127.0.0.1:2"}):
-            self.registry.of_service("models")[0].pace = 3.0
+            self.registry.of_service("models")[0].slowdown = 3.0
             self.update([build_entry("s1", **change)], 1.0)
-            self.assertEqual(1.0, self.registry.of_service("models")[0].pace)
+            self.assertEqual(
+                1.0, self.registry.of_service("models")[0].slowdown
+            )
 
 
 class EjectionTest(TestCase):
--- a/tests/entry/test_overload.py
+++ b/tests/entry/test_overload.py
@@ -14,9 +14,9 @@
 
 from azurewick.entry.admission import ArrivalRates
 from azurewick.entry.admission import predict_wait_s
-from azurewick.entry.line import Demand
-from azurewick.entry.line import Waiter
-from azurewick.entry.line import WaitingLine
+from azurewick.entry.request_queue import Demand
+from azurewick.entry.request_queue import RequestQueue
+from azurewick.entry.request_queue import Waiter
 from azurewick.entry.work import WorkEstimate
 from tests.entry.builders import build_demand
 
@@ -45,7 +45,7 @@
 
 
 class Policy(Protocol):
-    """Order of the line and decision to wait."""
+    """Order of the queue and decision to wait."""
 
     def admits(self, demand: Demand, now_s: float) -> bool:
         """Return whether a request may wait."""
@@ -81,13 +81,13 @@
     """Policy of the dispatcher."""
 
     def __init__(self):
-        self._line = WaitingLine()
+        self._queue = RequestQueue()
         self._rates = ArrivalRates()
 
     def admits(self, demand, now_s):
         urgency = demand.urgency(now_s)
         wait_s = predict_wait_s(
-            self._line.work_ahead_s(urgency),
+            self._queue.work_ahead_s(urgency),
             SLOTS,
             self._rates.above(urgency, now_s),
         )
@@ -95,7 +95,7 @@
         return wait_s <= demand.target_s - now_s
 
     def add(self, payload, demand, now_s):
-        self._line.add(
+        self._queue.add(
             Waiter(
                 payload=payload,
                 demand=demand,
@@ -105,8 +105,8 @@
         )
 
     def pop(self, now_s):
-        for waiter in self._line.in_order():
-            self._line.remove(waiter)
+        for waiter in self._queue.in_order():
+            self._queue.remove(waiter)
             if waiter.demand.is_on_time(now_s):
                 return waiter.payload, waiter.demand
         return None
--- a/tests/entry/test_placement.py
+++ b/tests/entry/test_placement.py
@@ -12,9 +12,11 @@
 from tests.entry.builders import build_placement
 
 
-def build_backend(name, *, pace=1.0, in_flight=0, **changes):
+def build_backend(name, *, slowdown=1.0, in_flight=0, **changes):
     return Backend(
-        entry=build_entry(name, **changes), pace=pace, in_flight=in_flight
+        entry=build_entry(name, **changes),
+        slowdown=slowdown,
+        in_flight=in_flight,
     )
 
 
@@ -42,7 +44,7 @@
             "s1",
             self.choose(
                 build_backend("s1", in_flight=3),
-                build_backend("s2", in_flight=1, pace=4.0),
+                build_backend("s2", in_flight=1, slowdown=4.0),
             ),
         )
 
@@ -68,7 +70,7 @@
         self.assertEqual(
             "fast",
             self.choose(
-                build_backend("slow", pace=4.0),
+                build_backend("slow", slowdown=4.0),
                 build_backend("fast", in_flight=10),
                 work=work,
             ),
@@ -79,7 +81,7 @@
         self.assertEqual(
             "fast",
             self.choose(
-                build_backend("slow", pace=5.0),
+                build_backend("slow", slowdown=5.0),
                 build_backend("fast", in_flight=11),
                 work=work,
             ),
--- a/tests/entry/test_line.py
+++ b/tests/entry/test_request_queue.py
@@ -8,8 +8,8 @@
 
 from azurewick.entry.admission import ArrivalRates
 from azurewick.entry.admission import predict_wait_s
-from azurewick.entry.line import Waiter
-from azurewick.entry.line import WaitingLine
+from azurewick.entry.request_queue import RequestQueue
+from azurewick.entry.request_queue import Waiter
 from azurewick.entry.retry_after import spread_retry_s
 from azurewick.entry.work import WorkEstimate
 from tests.entry.builders import build_demand
@@ -25,14 +25,14 @@
     )
 
 
-class WaitingLineTest(TestCase):
+class RequestQueueTest(TestCase):
     """Guards against urgent or short requests behind long ones."""
 
     def order(self, *waiters):
-        line = WaitingLine()
+        queue = RequestQueue()
         for waiter in waiters:
-            line.add(waiter)
-        return [waiter.payload for waiter in line.in_order()]
+            queue.add(waiter)
+        return [waiter.payload for waiter in queue.in_order()]
 
     def test_value_over_work_decides(self):
         short = WorkEstimate(first_s=0.07, total_s=0.1)
@@ -65,13 +65,13 @@
         )
 
     def test_work_ahead_counts_only_what_goes_first(self):
-        line = WaitingLine()
-        line.add(build_waiter("quote", rank=(0, 0)))
-        line.add(build_waiter("answer", rank=(0, 1)))
+        queue = RequestQueue()
+        queue.add(build_waiter("quote", rank=(0, 0)))
+        queue.add(build_waiter("answer", rank=(0, 1)))
         urgency = build_demand(rank=(0, 1)).urgency(0.0)
-        self.assertAlmostEqual(2.0, line.work_ahead_s(urgency))
+        self.assertAlmostEqual(2.0, queue.work_ahead_s(urgency))
         urgency = build_demand(rank=(0, 0)).urgency(0.0)
-        self.assertAlmostEqual(1.0, line.work_ahead_s(urgency))
+        self.assertAlmostEqual(1.0, queue.work_ahead_s(urgency))
 
 
 class AdmissionTest(TestCase):
