--- a/azurewick/entry/handler.py
+++ b/azurewick/entry/handler.py
@@ -113,11 +113,13 @@
     async def async_handle(self, http: BaseRequest) -> StreamResponse:
         """Answer one request."""
         self._active += 1
+        self._metrics.active.set({}, self._active)
         self._idle.clear()
         try:
             return await self._async_answer(http)
         finally:
             self._active -= 1
+            self._metrics.active.set({}, self._active)
             if not self._active:
                 self._idle.set()
 
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -116,6 +116,21 @@
         self.assertEqual(REQUEST_ID, headers["X-Request-Id"])
         self.assertEqual(200, await self.async_ready())
 
+    async def test_metrics_count_requests_by_route_and_outcome(self):
+        address = f"127.0.0.1:{free_port()}"
+        await self.async_start(replies(answer()), metrics_address=address)
+        await self.async_send()
+        await self.async_send(Authorization="Token other")
+        async with self.session.get(f"http://{address}/metrics") as got:
+            text = await got.text()
+        name = "azurewick_entry_requests_total"
+        self.assertIn(f'{name}{{outcome="ok",route="r-2"}} 1', text)
+        self.assertIn(f'{name}{{outcome="unknown_key",route="r-2"}} 1', text)
+        self.assertIn("azurewick_entry_active_requests 0", text)
+        self.assertIn(
+            'azurewick_entry_request_seconds_count{route="r-2"} 2', text
+        )
+
     async def test_refusals_name_their_cause(self):
         await self.async_start(replies(answer()))
         cases = (
