Use one decaying rate, one metrics port, one reader of settings files

Twins that the platform's code had written again: a sum that decays with time stood in admission and in peers, the metrics port in the gateway and in the entry instance, the reading of a settings file in the loader and in the adapter, and a token bucket in the log handler beside the store's CallBudget. Each is one piece now.

Also: the quota filter computed a request's cost twice; take gets it. The drain filter looked at all servers for each request though nothing drained; it returns first. A comment on the share of connections was wrong.

--- a/azurewick/entry/admission.py
+++ b/azurewick/entry/admission.py
@@ -2,26 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from math import exp
 from math import floor
 from math import inf
 from math import log2
 
+from azurewick.util.decaying_rate import DecayingRate
+
 # Time constant of the arrival rates. Bursts last some seconds.
 RATE_TIME_CONSTANT_S = 1.5
 
 
-@dataclass(slots=True)
-class _DecayingSum:
-    value: float
-    updated_s: float
-
-    def at(self, now_s: float) -> float:
-        passed_s = max(0.0, now_s - self.updated_s)
-        return self.value * exp(-passed_s / RATE_TIME_CONSTANT_S)
-
-
 class ArrivalRates:
     """Work that arrives a second; recent arrivals weigh most.
 
@@ -29,25 +19,22 @@
     """
 
     def __init__(self) -> None:
-        self._sums: dict[int, _DecayingSum] = {}
+        self._rates: dict[int, DecayingRate] = {}
 
     def add(self, urgency: float, work_s: float, now_s: float) -> None:
         """Count the work of one arrival."""
-        key = _bucket(urgency)
-        known = self._sums.get(key)
-        before = 0.0 if known is None else known.at(now_s)
-        self._sums[key] = _DecayingSum(before + work_s, now_s)
+        rate = self._rates.setdefault(
+            _bucket(urgency), DecayingRate(RATE_TIME_CONSTANT_S)
+        )
+        rate.add(work_s, now_s)
 
     def above(self, urgency: float, now_s: float) -> float:
         """Return the work a second that goes before an urgency."""
         key = _bucket(urgency)
-        return (
-            sum(
-                total.at(now_s)
-                for other, total in self._sums.items()
-                if other > key
-            )
-            / RATE_TIME_CONSTANT_S
+        return sum(
+            rate.per_s(now_s)
+            for other, rate in self._rates.items()
+            if other > key
         )
 
 
--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -18,6 +18,7 @@
 from aiomisc import Service
 
 from azurewick.entry.backend_client import BackendClient
+from azurewick.entry.backend_client import MAX_FIELD_BYTES
 from azurewick.entry.drain import Drain
 from azurewick.entry.filters import BodyFilter
 from azurewick.entry.filters import CustomerFilter
@@ -49,7 +50,6 @@
 
 _LOGGER = getLogger(__name__)
 
-MAX_FIELD_BYTES = 16_384
 # Time for the handlers to end when the servers close.
 CLOSE_TIMEOUT_S = 0.2
 # Connections that send no request for this long are closed.
@@ -203,7 +203,7 @@
             name=self.settings.name,
             incarnation=self._incarnation,
             sequence=sequence,
-            work=self._peers.meter.per_s(monotonic_s()),
+            work=self._peers.demand.per_s(monotonic_s()),
             in_flight={
                 backend.name: backend.in_flight
                 for backend in self.state.registry
--- a/azurewick/entry/backend_client.py
+++ b/azurewick/entry/backend_client.py
@@ -18,7 +18,7 @@
 # The client stops reading from the backend server when twice this much waits
 # for a slow caller.
 READ_BUFFER_BYTES = 32_768
-# Heads of answers that no server of the platform sends are refused.
+# Longest header field of requests and answers.
 MAX_FIELD_BYTES = 16_384
 
 
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -11,7 +11,6 @@
 from azurewick.entry.admission import ArrivalRates
 from azurewick.entry.admission import predict_wait_s
 from azurewick.entry.backends import Backend
-from azurewick.entry.peers import DemandMeter
 from azurewick.entry.placement import Placement
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_queue import RequestQueue
@@ -19,6 +18,7 @@
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
+from azurewick.util.decaying_rate import DecayingRate
 
 # A request that is late on arrival came back after a refusal, and a second
 # one would end it. It waits at most this long, as callers leave a silent
@@ -36,12 +36,12 @@
         self,
         candidates: Callable[[], Sequence[Backend]],
         placement: Placement,
-        meter: DemandMeter,
+        demand: DecayingRate,
         clock: Callable[[], float],
     ) -> None:
         self._candidates = candidates
         self._placement = placement
-        self._meter = meter
+        self._demand = demand
         self._clock = clock
         self._queue: RequestQueue[Future[Backend]] = RequestQueue()
         self._rates = ArrivalRates()
@@ -69,7 +69,7 @@
         budget_s = _wait_budget_s(demand, now_s)
         wait_s = self._predict_wait_s(waiter.urgency, now_s)
         self._rates.add(waiter.urgency, demand.work.total_s, now_s)
-        self._meter.add(demand.work.total_s, now_s)
+        self._demand.add(demand.work.total_s, now_s)
         if wait_s > budget_s:
             raise _refuse("queue is too long", wait_s)
         self._queue.add(waiter)
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -74,6 +74,8 @@
 
     async def async_apply(self, context: EntryContext) -> None:
         """Refuse a request that comes too late in the drain."""
+        if not self._drain.is_active:
+            return
         assert context.route is not None
         run_s = self._expect_run_s(context.route, context.request)
         if self._drain.takes(self._clock(), run_s):
@@ -148,9 +150,8 @@
         """Refuse the request when its customer is above the quota."""
         if context.customer is None:
             return
-        wait_s = self._limiter.take(
-            context.customer, context.request, self._clock()
-        )
+        cost = request_cost(context.customer, context.request)
+        wait_s = self._limiter.take(context.customer, cost, self._clock())
         if wait_s is not None:
             raise AzurewickError(
                 ErrorCode.RATE_LIMITED,
@@ -158,7 +159,7 @@
                 step=Step.LIMIT,
                 retry_after_s=wait_s,
             )
-        context.quota_cost = request_cost(context.customer, context.request)
+        context.quota_cost = cost
 
 
 def _refuse(code: ErrorCode, message: str) -> AzurewickError:
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -7,10 +7,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
-from math import exp
 from math import floor
 from zlib import crc32
 
+from azurewick.util.decaying_rate import DecayingRate
+
 # A peer that is silent for this long is taken to use its shares in full.
 # Datagrams come several times in this time and get lost now and then.
 SILENT_AFTER_S = 1.0
@@ -61,27 +62,6 @@
     heard_s: float
 
 
-class DemandMeter:
-    """Measures the work that callers ask for, refused requests included."""
-
-    def __init__(self) -> None:
-        self._sum = 0.0
-        self._updated_s = 0.0
-
-    def add(self, work_s: float, now_s: float) -> None:
-        """Count the work of a request."""
-        self._sum = self._decayed(now_s) + work_s
-        self._updated_s = now_s
-
-    def per_s(self, now_s: float) -> float:
-        """Return the nominal work a second of the last seconds."""
-        return self._decayed(now_s) / DEMAND_TIME_CONSTANT_S
-
-    def _decayed(self, now_s: float) -> float:
-        passed_s = max(0.0, now_s - self._updated_s)
-        return self._sum * exp(-passed_s / DEMAND_TIME_CONSTANT_S)
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SlotShares:
     """Shares of all instances in the servers' slots at one time.
@@ -133,7 +113,8 @@
     """
 
     def __init__(self, own_name: str) -> None:
-        self.meter = DemandMeter()
+        # Work that callers ask for, refused requests included.
+        self.demand = DecayingRate(DEMAND_TIME_CONSTANT_S)
         self._own_name = own_name
         self._peers: dict[str, _Peer] = {}
         # Incarnations of the peers that have left.
@@ -228,7 +209,7 @@
         for name in self._members:
             peer = self._peers.get(name)
             if name == self._own_name:
-                work = self.meter.per_s(now_s)
+                work = self.demand.per_s(now_s)
             else:
                 work = 0.0 if peer is None else peer.report.work
             demands.append(work + PRIOR_WORK)
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -73,12 +73,11 @@
         self._buckets: dict[str, _Bucket] = {}
 
     def take(
-        self, customer: CustomerQuota, request: CallerRequest, now_s: float
+        self, customer: CustomerQuota, cost: float, now_s: float
     ) -> float | None:
         """Take a request's cost; return None, or seconds until it fits."""
         if customer.rate_per_s <= 0:
             return None
-        cost = request_cost(customer, request)
         bucket = self._refill(customer, now_s)
         fraction = self._fraction(now_s)
         # A request larger than the bucket passes when the bucket is full.
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -128,7 +128,7 @@
             dispatcher=Dispatcher(
                 partial(self._candidates, service),
                 self.placement,
-                self._peers.meter,
+                self._peers.demand,
                 self._clock,
             ),
             retries=self._build_retries(),
--- a/azurewick/gateway/metrics.py
+++ b/azurewick/gateway/metrics.py
@@ -5,23 +5,21 @@
 from aioprometheus.collectors import Counter
 from aioprometheus.collectors import Gauge
 from aioprometheus.collectors import Histogram
-from aioprometheus.collectors import Registry
-from aioprometheus.service import Service
 
 from azurewick.gateway.context import RequestContext
 from azurewick.gateway.streaming import AnswerMeter
-from azurewick.helpers.address import split_address
+from azurewick.helpers.metrics_endpoint import MetricsEndpoint
 
 FIRST_TOKEN_BUCKETS = (0.1, 0.25, 0.5, 1.0, 1.9, 3.0, 5.0, 10.0, 30.0)
 INTER_TOKEN_BUCKETS = (0.01, 0.02, 0.04, 0.079, 0.12, 0.25, 0.5, 1.0)
 CODE_OK = "ok"
 
 
-class GatewayMetrics:
+class GatewayMetrics(MetricsEndpoint):
     """Counters and histograms by class, outcome and code."""
 
     def __init__(self) -> None:
-        self.registry = Registry()
+        super().__init__()
         self.requests = self._counter(
             "azurewick_requests_total",
             "Requests by class, outcome and code.",
@@ -64,24 +62,10 @@
             registry=self.registry,
         )
         self.counts: dict[str, int] = {}
-        self._service: Service | None = None
 
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(name, text, registry=self.registry)
 
-    async def async_start(self, address: str | None) -> None:
-        """Serve the metrics at an address, "IP:port"."""
-        if address is None:
-            return
-        host, port = split_address(address)
-        self._service = Service(self.registry)
-        await self._service.start(addr=host, port=port)
-
-    async def async_stop(self) -> None:
-        """Stop to serve the metrics."""
-        if self._service is not None:
-            await self._service.stop()
-
     def set_running(self, count: int) -> None:
         """Set the number of running requests."""
         self.running.set({}, count)
--- a/azurewick/helpers/logging.py
+++ b/azurewick/helpers/logging.py
@@ -15,6 +15,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from azurewick.store.budget import CallBudget
+
 TEXT_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 JSON_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 # Lines a second of one process and its burst. An entry instance writes one
@@ -42,16 +44,13 @@
         os.set_blocking(descriptor, False)
         self.left_out = 0
         self._descriptor = descriptor
-        self._lines_per_s = lines_per_s
-        self._burst_lines = burst_lines
+        self._budget = CallBudget(lines_per_s, burst_lines)
         self._clock = clock
-        self._tokens = burst_lines
-        self._updated_s = clock()
         self._pending = b""
 
     def emit(self, record: LogRecord) -> None:
         """Write a line, or count it as left out."""
-        if not self._flush_pending() or not self._take(record.levelno):
+        if not self._flush_pending() or not self._may_write(record.levelno):
             self.left_out += 1
             return
         if self.left_out:
@@ -65,19 +64,10 @@
         self._pending = data
         self._flush_pending()
 
-    def _take(self, level: int) -> bool:
-        now_s = self._clock()
-        passed_s = max(0.0, now_s - self._updated_s)
-        self._updated_s = now_s
-        self._tokens = min(
-            self._burst_lines, self._tokens + passed_s * self._lines_per_s
+    def _may_write(self, level: int) -> bool:
+        return level >= WARNING or (
+            self._budget.reserve(self._clock(), maximum_wait_s=0.0) >= 0
         )
-        if level >= WARNING:
-            return True
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
 
     def _flush_pending(self) -> bool:
         """Write what is left of the last line; return whether all went."""
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -14,9 +14,10 @@
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
 from azurewick.settings.loader import describe_validation_error
+from azurewick.settings.loader import read_settings_file
 from azurewick.settings.models import Address
 
-# A tenth of the descriptors stays free for files and the store.
+# The other descriptors are for backend servers, files and the store.
 CONNECTION_SHARE = 0.6
 
 
@@ -116,15 +117,7 @@
 
     Raises AzurewickError with code invalid_settings.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as err:
-        raise AzurewickError(
-            ErrorCode.INVALID_SETTINGS,
-            f"can't read the settings file {path}: {err}",
-            step=Step.SETTINGS,
-        ) from err
-    return parse_node_file(text)
+    return parse_node_file(read_settings_file(path))
 
 
 class NodeSettingsFile:
--- a/azurewick/settings/loader.py
+++ b/azurewick/settings/loader.py
@@ -48,17 +48,24 @@
         ) from err
 
 
-def load_settings(path: Path) -> GatewaySettings | AgentSettings:
-    """Return the settings in a JSON file.
+def read_settings_file(path: Path) -> str:
+    """Return the text of a settings file.
 
     Raises AzurewickError with code invalid_settings.
     """
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as err:
         raise AzurewickError(
             ErrorCode.INVALID_SETTINGS,
             f"can't read the settings file {path}: {err}",
             step=Step.SETTINGS,
         ) from err
-    return parse_settings(text)
+
+
+def load_settings(path: Path) -> GatewaySettings | AgentSettings:
+    """Return the settings in a JSON file.
+
+    Raises AzurewickError with code invalid_settings.
+    """
+    return parse_settings(read_settings_file(path))
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -26,7 +26,6 @@
 from azurewick.entry.models import RouteKind
 from azurewick.entry.models import WeightedService
 from azurewick.entry.patience import CallerPatience
-from azurewick.entry.peers import DemandMeter
 from azurewick.entry.peers import PeerView
 from azurewick.entry.placement import LeastLoadPlacement
 from azurewick.entry.request_queue import Demand
@@ -34,6 +33,7 @@
 from azurewick.entry.work import WorkEstimator
 from azurewick.helpers.clock import monotonic_s
 from azurewick.platform.requests import PlatformProtocol
+from azurewick.util.decaying_rate import DecayingRate
 
 REQUEST_ID = "9c41d07be2a35f68"
 SIGNATURE = "3e1b.07"
@@ -248,7 +248,7 @@
         dispatcher = Dispatcher(
             lambda: self.backends,
             _InOrder(),
-            DemandMeter(),
+            DecayingRate(1.0),
             monotonic_s,
         )
         parts = ExchangeParts(
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -90,7 +90,7 @@
         views = build_views()
         for view in views[:2]:
             view.take(build_report("e5", work=100.0), 0.0)
-        views[4].meter.add(1000.0, 0.0)
+        views[4].demand.add(1000.0, 0.0)
         fractions = [view.shared_fraction(5.0) for view in views]
         self.assertEqual([0.2] * 5, [round(one, 6) for one in fractions])
 
--- a/tests/entry/test_quota.py
+++ b/tests/entry/test_quota.py
@@ -7,6 +7,7 @@
 
 from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.quota import QuotaTolerance
+from azurewick.entry.quota import request_cost
 from tests.entry.builders import build_customer
 from tests.entry.builders import build_request
 
@@ -49,7 +50,12 @@
                 input_tokens=self.random.choice((10, 20, 60)),
                 output_tokens=0,
             )
-            if self.limiters[index].take(CUSTOMER, request, now_s) is None:
+            if (
+                self.limiters[index].take(
+                    CUSTOMER, request_cost(CUSTOMER, request), now_s
+                )
+                is None
+            ):
                 self.passed.append((now_s, request.input_tokens))
             if step % REPORT_STEPS == 0 and not self.is_cut:
                 self.exchange(now_s)
@@ -102,7 +108,9 @@
     def test_restarted_instance_serves_at_once(self):
         limiter = QuotaLimiter(TOLERANCE, lambda now_s: 1.0, 0.0)
         request = build_request(input_tokens=400)
-        self.assertIsNone(limiter.take(CUSTOMER, request, 0.0))
+        self.assertIsNone(
+            limiter.take(CUSTOMER, request_cost(CUSTOMER, request), 0.0)
+        )
 
     def test_instances_without_contact_keep_to_their_shares(self):
         fleet = Fleet(3, seed=3)
@@ -120,34 +128,44 @@
     def test_customer_without_quota_always_passes(self):
         customer = build_customer(rate_per_s=0.0)
         request = build_request(input_tokens=10**9)
-        self.assertIsNone(self.build().take(customer, request, 0.0))
+        self.assertIsNone(
+            self.build().take(customer, request_cost(customer, request), 0.0)
+        )
 
     def test_refusal_says_when_the_request_fits(self):
         limiter = self.build()
         request = build_request(input_tokens=3000)
-        waits = [limiter.take(CUSTOMER, request, 0.0) for _ in range(3)]
+        waits = [
+            limiter.take(CUSTOMER, request_cost(CUSTOMER, request), 0.0)
+            for _ in range(3)
+        ]
         self.assertIsNone(waits[0])
         self.assertIsNotNone(waits[2])
         later_s = waits[2] + 0.01
-        self.assertIsNone(limiter.take(CUSTOMER, request, later_s))
+        self.assertIsNone(
+            limiter.take(CUSTOMER, request_cost(CUSTOMER, request), later_s)
+        )
 
     def test_request_that_did_not_run_is_given_back(self):
         limiter = self.build()
         request = build_request(input_tokens=3000)
-        limiter.take(CUSTOMER, request, 0.0)
+        limiter.take(CUSTOMER, request_cost(CUSTOMER, request), 0.0)
         limiter.give_back(CUSTOMER, 3000.0)
         self.assertEqual({}, limiter.used())
 
     def test_request_without_token_count_costs_the_default(self):
         limiter = self.build()
         customer = build_customer(default_tokens=200)
-        limiter.take(customer, build_request(), 0.0)
+        limiter.take(customer, request_cost(customer, build_request()), 0.0)
         self.assertEqual({"north": 200.0}, limiter.used())
 
     def test_lower_quota_binds_at_once(self):
         limiter = self.build()
         request = build_request(input_tokens=400)
-        limiter.take(CUSTOMER, request, 0.0)
+        limiter.take(CUSTOMER, request_cost(CUSTOMER, request), 0.0)
         lower = build_customer(rate_per_s=1.0, burst=1.0)
-        waits = [limiter.take(lower, request, 0.0) for _ in range(20)]
+        waits = [
+            limiter.take(lower, request_cost(lower, request), 0.0)
+            for _ in range(20)
+        ]
         self.assertIsNotNone(waits[-1])
