--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -5,8 +5,6 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
-from typing import Protocol
 
 from aiohttp import ClientError
 from aiohttp import ClientResponse
@@ -15,15 +13,18 @@
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backends import Backend
 from azurewick.entry.dispatcher import Dispatcher
-from azurewick.entry.events import EventSplitter
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendCall
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import Route
 from azurewick.entry.patience import CallerPatience
 from azurewick.entry.protocols import WireProtocol
+from azurewick.entry.relay import AnswerRelay
+from azurewick.entry.relay import AnswerWriter
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_queue import Rank
+from azurewick.entry.trace import AttemptTrace
+from azurewick.entry.trace import ExchangeTrace
 from azurewick.entry.work import measure_work
 from azurewick.entry.work import NOMINAL_PLAIN_S
 from azurewick.entry.work import WorkEstimator
@@ -31,7 +32,6 @@
 from azurewick.errors import ErrorCode
 from azurewick.errors import Outcome
 from azurewick.errors import Step
-from azurewick.helpers.http_client import watch_connection
 
 # Rejections after which a request is refused. A rejected request hasn't run,
 # so they don't count as attempts, but each one costs the shared budget.
@@ -45,57 +45,11 @@
 # another server can resume.
 FIRST_EVENT_SILENCE_S = 2.0
 EVENT_SILENCE_S = 1.5
-# Answers of plain services up to this size are read whole before the caller
-# gets the first byte, so that a torn answer can be repeated.
-WHOLE_ANSWER_BYTES = 262_144
-READ_BYTES = 65_536
 OUTCOME_UNFINISHED = "unfinished"
 # A refused caller comes back after a part of this time.
 RETRY_AFTER_S = 1.0
 
 
-class CallerGoneError(Exception):
-    """The caller has closed its connection."""
-
-
-class AnswerWriter(Protocol):
-    """Caller's side of an exchange.
-
-    Both methods raise CallerGoneError when the caller has left.
-    """
-
-    async def async_start(self, head: AnswerHead, length: int | None) -> None:
-        """Send the head of the answer."""
-
-    async def async_write(self, data: bytes) -> None:
-        """Send a part of the body."""
-
-
-@dataclass(kw_only=True, slots=True)
-class AttemptTrace:
-    """What the log says about one dispatch.
-
-    load is the number of this instance's requests at the server, this one
-    included. sent_s and first_byte_s count from the request's receipt.
-    """
-
-    server: str
-    load: int
-    sent_s: float
-    first_byte_s: float | None = None
-    outcome: str = ""
-
-
-@dataclass(kw_only=True, slots=True)
-class ExchangeTrace:
-    """What the log says about an exchange."""
-
-    attempts: list[AttemptTrace] = field(default_factory=list)
-    waited_s: float = 0.0
-    status: int = 0
-    bytes_sent: int = 0
-
-
 class BrokenAnswerError(Exception):
     """The answer broke after its head had been sent."""
 
@@ -143,16 +97,21 @@
         self._customer = customer
         self._rank = rank
         self._body = body
-        self._writer = writer
         self._tried: set[str] = set()
         self._runs = 0
         self._rejections = 0
-        self._head_sent = False
-        self._last_event_id: str | None = request.last_event_id
         self._started_s = request.received_s
         self._first_sent_s = request.received_s - parts.patience.age_s(
             route, request
         )
+        self._relay = AnswerRelay(
+            writer,
+            self.trace,
+            is_resumable=route.is_resumable,
+            last_event_id=request.last_event_id,
+            started_s=request.received_s,
+            clock=parts.clock,
+        )
         limits = [
             limit
             for limit in (request.deadline_s, route.timeout_s)
@@ -173,7 +132,7 @@
             async with asyncio.timeout_at(loop.time() + max(0.0, left_s)):
                 await self._async_attempts()
         except TimeoutError as err:
-            if self._head_sent:
+            if self._relay.is_started:
                 raise BrokenAnswerError from err
             raise self._late() from err
         except AzurewickError as err:
@@ -190,7 +149,7 @@
                 return
             except _AttemptFailedError as err:
                 if not self._may_repeat(err.error):
-                    if self._head_sent:
+                    if self._relay.is_started:
                         raise BrokenAnswerError from err
                     raise err.error from err
             finally:
@@ -222,7 +181,7 @@
             backend_name=backend.name,
             address=backend.entry.address,
             time_left_s=self._ends_s - now_s,
-            last_event_id=self._last_event_id,
+            last_event_id=self._relay.last_event_id,
         )
         attempt = AttemptTrace(
             server=backend.name,
@@ -240,9 +199,12 @@
             )
             self._check_head(backend, head)
             if self._route.is_stream and head.is_success:
-                await self._async_relay_stream(backend, response, head, now_s)
+                events = await self._relay.async_relay_stream(
+                    response, head, self._event_timeout_s
+                )
+                self._learn(backend, now_s, events)
             else:
-                await self._async_relay_whole(response, head)
+                await self._relay.async_relay_whole(response, head)
             self._record_answer(backend, head, now_s)
             attempt.outcome = str(head.status)
         except AzurewickError as err:
@@ -298,82 +260,6 @@
         if head.status >= 500 and self._can_run_again():
             raise _failed(backend, f"backend server failed: {head.status}")
 
-    async def _async_relay_whole(
-        self, response: ClientResponse, head: AnswerHead
-    ) -> None:
-        """Read the answer whole, then pass it on."""
-        connection = watch_connection(response)
-        parts: list[bytes] = []
-        size = 0
-        whole = True
-        async for data in response.content.iter_any():
-            parts.append(data)
-            size += len(data)
-            if size > WHOLE_ANSWER_BYTES:
-                whole = False
-                break
-        if head.has_no_length:
-            connection.raise_if_reset()
-        length = size if whole else head.content_length
-        await self._async_start(head, length)
-        for data in parts:
-            await self._async_write(data)
-        if not whole:
-            async for data in response.content.iter_any():
-                await self._async_write(data)
-            if head.has_no_length:
-                connection.raise_if_reset()
-
-    async def _async_relay_stream(
-        self,
-        backend: Backend,
-        response: ClientResponse,
-        head: AnswerHead,
-        sent_s: float,
-    ) -> None:
-        """Pass the events on as they arrive, whole events only."""
-        connection = watch_connection(response)
-        splitter = EventSplitter()
-        if not self._route.is_resumable:
-            await self._async_start(head, head.content_length)
-        first = True
-        while True:
-            async with asyncio.timeout(self._event_timeout_s(first)):
-                data = await response.content.readany()
-            if not data:
-                break
-            first = False
-            if not self._route.is_resumable:
-                splitter.feed(data)
-                await self._async_write(data)
-                continue
-            whole = splitter.feed(data)
-            if whole:
-                await self._async_start(head, head.content_length)
-                await self._async_write(whole)
-                self._last_event_id = splitter.last_event_id
-        if head.has_no_length:
-            connection.raise_if_reset()
-        if self._route.is_resumable:
-            await self._async_start(head, head.content_length)
-            await self._async_write(splitter.rest)
-        self._learn(backend, sent_s, splitter.events)
-
-    async def _async_start(self, head: AnswerHead, length: int | None) -> None:
-        if self._head_sent:
-            return
-        self._head_sent = True
-        self.trace.status = head.status
-        await self._writer.async_start(head, length)
-
-    async def _async_write(self, data: bytes) -> None:
-        if data:
-            attempt = self.trace.attempts[-1]
-            if attempt.first_byte_s is None:
-                attempt.first_byte_s = self._parts.clock() - self._started_s
-            self.trace.bytes_sent += len(data)
-            await self._writer.async_write(data)
-
     def _learn(self, backend: Backend, sent_s: float, events: int) -> None:
         """Learn the slowdown and the length from a complete stream."""
         tokens = events * self._parts.tokens_per_event()
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -6,8 +6,8 @@
 from unittest import IsolatedAsyncioTestCase
 
 from azurewick.entry.exchange import BrokenAnswerError
-from azurewick.entry.exchange import CallerGoneError
 from azurewick.entry.models import RouteKind
+from azurewick.entry.relay import CallerGoneError
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Outcome
