Let the connection watch decide which bodies a reset cuts off

The check that only bodies without a length end with their connection stood at three callers and needed a field of the answer's head, filled by the adapter. It is plain HTTP and belongs to the watch. Same behaviour; the tests for reset bodies without a length and for a reset after a whole answer pass unchanged.

--- a/azurewick/entry/models.py
+++ b/azurewick/entry/models.py
@@ -212,8 +212,7 @@
     """Head of a backend server's answer.
 
     is_rejection says that the server states not to have run the request;
-    is_foreign that the answer belongs to another request; has_no_length
-    that its body ends with its connection.
+    is_foreign that the answer belongs to another request.
     """
 
     status: int
@@ -221,7 +220,6 @@
     is_foreign: bool = False
     is_signed: bool = False
     is_encoded: bool = False
-    has_no_length: bool = False
     content_length: int | None = None
     headers: tuple[tuple[str, str], ...] = field(default=())
 
--- a/azurewick/entry/relay.py
+++ b/azurewick/entry/relay.py
@@ -74,8 +74,7 @@
             if size > WHOLE_ANSWER_BYTES:
                 whole = False
                 break
-        if head.has_no_length:
-            connection.raise_if_reset()
+        connection.raise_if_reset()
         length = size if whole else head.content_length
         await self._async_start(head, length)
         for data in parts:
@@ -83,8 +82,7 @@
         if not whole:
             async for data in response.content.iter_any():
                 await self._async_write(data)
-            if head.has_no_length:
-                connection.raise_if_reset()
+            connection.raise_if_reset()
 
     async def async_relay_stream(
         self,
@@ -118,8 +116,7 @@
                 await self._async_start(head, head.content_length)
                 await self._async_write(whole)
                 self.last_event_id = splitter.last_event_id
-        if head.has_no_length:
-            connection.raise_if_reset()
+        connection.raise_if_reset()
         if self._is_resumable:
             await self._async_start(head, head.content_length)
             await self._async_write(splitter.rest)
--- a/azurewick/helpers/http_client.py
+++ b/azurewick/helpers/http_client.py
@@ -46,18 +46,18 @@
 
 
 class ConnectionWatch:
-    """Tells whether a response's connection was reset.
+    """Tells whether a reset has cut off the body of a response.
 
     A body without a length ends with its connection. aiohttp ends such a
     body in the same way for a closed and for a reset connection, after
-    which it isn't complete.
+    which it isn't complete. Without a protocol there is nothing to watch.
     """
 
     def __init__(self, protocol: ResponseHandler | None) -> None:
         self._protocol = protocol
 
     def raise_if_reset(self) -> None:
-        """Raise ClientOSError if the connection was reset."""
+        """Raise ClientOSError if a reset has ended the body."""
         if self._protocol is None:
             return
         error = self._protocol.exception()
@@ -66,6 +66,13 @@
 
 
 def watch_connection(response: ClientResponse) -> ConnectionWatch:
-    """Return the watch of a response whose body is not read yet."""
-    connection = response.connection
-    return ConnectionWatch(None if connection is None else connection.protocol)
+    """Return the watch of a response whose body is not read yet.
+
+    A body with a length or in chunks tells by itself that it is complete;
+    a reset after it changes nothing.
+    """
+    headers, connection = response.headers, response.connection
+    is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+    if is_framed or connection is None:
+        return ConnectionWatch(None)
+    return ConnectionWatch(connection.protocol)
--- a/azurewick/platform/requests.py
+++ b/azurewick/platform/requests.py
@@ -101,10 +101,6 @@
             is_foreign=echoed_id is not None and echoed_id != request_id,
             is_signed=HEADER_SIGNATURE in headers,
             is_encoded="Content-Encoding" in headers,
-            has_no_length=(
-                "Content-Length" not in headers
-                and "Transfer-Encoding" not in headers
-            ),
             content_length=_parse_length(headers),
             headers=_answer_headers(headers),
         )
