--- a/azurewick/entry/models.py
+++ b/azurewick/entry/models.py
@@ -70,23 +70,15 @@
         return self.kind is RouteKind.IDEMPOTENT
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EngineLimits:
-    """Limits of a service's model engines."""
-
-    slots: int
-    cache_tokens: int
-    tokens_per_event: int
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """Backend servers that serve the same requests."""
+    """Backend servers that serve the same requests.
+
+    tokens_per_event is what one event of a model engine's stream holds.
+    """
 
     name: str
-    health_path: str
-    max_connections: int
-    engine: EngineLimits | None = None
+    tokens_per_event: int = 1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -108,9 +100,7 @@
 class RequestLimits:
     """Limits on what a caller may send."""
 
-    max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
 
@@ -186,7 +176,6 @@
     received_s: float
     deadline_s: float | None = None
     api_key: str | None = None
-    model: str = ""
     input_tokens: int | None = None
     output_tokens: int = 0
     expected_output_tokens: int | None = None
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -141,9 +141,7 @@
     def _tokens_per_event(self, service: str) -> int:
         configuration = self._state.configuration
         known = configuration and configuration.services.get(service)
-        if not known or known.engine is None:
-            return 1
-        return known.engine.tokens_per_event
+        return known.tokens_per_event if known else 1
 
     def _candidates(self, service: str) -> list[Backend]:
         servers = self._state.servers_of(service)
--- a/azurewick/platform/const.py
+++ b/azurewick/platform/const.py
@@ -12,7 +12,6 @@
 HEADER_EXPECT_INSTANCE: Final = "X-Expect-Instance"
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
 HEADER_LENGTH_HINT: Final = "X-Length-Hint"
-HEADER_MODEL: Final = "X-Model"
 # Set by a backend server that has rejected the request.
 HEADER_NOT_EXECUTED: Final = "X-Not-Executed"
 HEADER_PREFIX: Final = "X-Prefix-Hash"
--- a/azurewick/platform/documents.py
+++ b/azurewick/platform/documents.py
@@ -12,7 +12,6 @@
 
 from azurewick.entry.models import BackendEntry
 from azurewick.entry.models import CustomerQuota
-from azurewick.entry.models import EngineLimits
 from azurewick.entry.models import FleetConfiguration
 from azurewick.entry.models import MoveState
 from azurewick.entry.models import RequestLimits
@@ -166,9 +165,7 @@
             for key in tenant.api_keys
         },
         limits=RequestLimits(
-            max_header_bytes=wire.limits.max_header_bytes,
             max_body_bytes=wire.limits.max_body_bytes,
-            header_timeout_s=wire.limits.header_timeout_ms / 1000,
             idle_timeout_s=wire.limits.idle_timeout_ms / 1000,
         ),
     )
@@ -243,20 +240,9 @@
 
 
 def _build_service(wire: ServiceWire) -> Service:
-    engine = wire.engine
     return Service(
         name=wire.name,
-        health_path=wire.health_path,
-        max_connections=wire.max_conns,
-        engine=(
-            None
-            if engine is None
-            else EngineLimits(
-                slots=engine.slots,
-                cache_tokens=engine.kv_capacity,
-                tokens_per_event=engine.stride,
-            )
-        ),
+        tokens_per_event=1 if wire.engine is None else wire.engine.stride,
     )
 
 
--- a/azurewick/platform/requests.py
+++ b/azurewick/platform/requests.py
@@ -19,7 +19,6 @@
 from azurewick.platform.const import HEADER_EXPECT_INSTANCE
 from azurewick.platform.const import HEADER_LAST_EVENT_ID
 from azurewick.platform.const import HEADER_LENGTH_HINT
-from azurewick.platform.const import HEADER_MODEL
 from azurewick.platform.const import HEADER_NOT_EXECUTED
 from azurewick.platform.const import HEADER_PREFIX
 from azurewick.platform.const import HEADER_REQUEST_ID
@@ -56,7 +55,6 @@
             received_s=received_s,
             deadline_s=(None if deadline_ms is None else deadline_ms / 1000.0),
             api_key=_parse_key(headers.get(HEADER_AUTHORIZATION, "")),
-            model=headers.get(HEADER_MODEL, ""),
             input_tokens=input_tokens,
             output_tokens=output_tokens,
             expected_output_tokens=_parse_number(
