Give no slot to a waiter whose caller has left

Cause: a cancelled or expired waiter stays in the queue until its task runs again.

The new test fails before with InvalidStateError and passes after.

--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -101,6 +101,9 @@
         now_s = self._clock()
         candidates = self._candidates()
         for waiter in self._queue.in_order():
+            if waiter.payload.done():
+                # Cancelled; it leaves the queue when its task runs again.
+                continue
             backend = self._placement.choose(candidates, waiter.demand, now_s)
             if backend is None:
                 if not waiter.demand.excluded:
--- /dev/null
+++ b/tests/entry/test_dispatcher.py
@@ -0,0 +1,76 @@
+"""Tests of the dispatcher's slots and waiting requests."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from azurewick.entry.backends import Backend
+from azurewick.entry.dispatcher import Dispatcher
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.helpers.clock import monotonic_s
+from azurewick.util.decaying_rate import DecayingRate
+from tests.entry.builders import build_demand
+from tests.entry.builders import build_entry
+from tests.entry.builders import build_peers
+from tests.entry.builders import build_placement
+
+
+class DispatcherTest(IsolatedAsyncioTestCase):
+    """Guards against slots that are lost and errors of other requests."""
+
+    async def asyncSetUp(self):
+        self.backend = Backend(entry=build_entry(slots=1))
+        self.dispatcher = Dispatcher(
+            lambda: [self.backend],
+            build_placement(build_peers("e1", "e1")),
+            DecayingRate(1.0),
+            monotonic_s,
+        )
+
+    def start(self, wait_s: float = 5.0) -> asyncio.Task[Backend]:
+        now_s = monotonic_s()
+        demand = build_demand(target_s=now_s + wait_s, ends_s=now_s + 15.0)
+        return asyncio.create_task(self.dispatcher.async_acquire(demand))
+
+    async def test_slot_goes_to_the_next_waiter(self):
+        await self.start()
+        waiting = self.start()
+        await asyncio.sleep(0.01)
+        self.assertEqual(1, self.dispatcher.waiting)
+        self.dispatcher.release(self.backend)
+        self.assertIs(self.backend, await waiting)
+        self.assertEqual(1, self.backend.in_flight)
+
+    async def test_cancelled_waiter_gets_no_slot(self):
+        # The waiter stays in the queue until its task runs again.
+        await self.start()
+        cancelled, waiting = self.start(), self.start()
+        await asyncio.sleep(0.01)
+        cancelled.cancel()
+        self.dispatcher.release(self.backend)
+        self.assertIs(self.backend, await waiting)
+        with self.assertRaises(asyncio.CancelledError):
+            await cancelled
+        self.assertEqual(1, self.backend.in_flight)
+        self.dispatcher.release(self.backend)
+        self.assertEqual(0, self.backend.in_flight)
+
+    async def test_slot_of_a_waiter_cancelled_right_after_is_returned(self):
+        await self.start()
+        waiting = self.start()
+        await asyncio.sleep(0.01)
+        self.dispatcher.release(self.backend)
+        waiting.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await waiting
+        self.assertEqual(0, self.backend.in_flight)
+
+    async def test_waiter_is_refused_when_its_time_is_over(self):
+        await self.start()
+        with self.assertRaises(AzurewickError) as caught:
+            await self.start(0.15)
+        self.assertEqual(ErrorCode.OVERLOADED, caught.exception.code)
+        self.assertEqual(0, self.dispatcher.waiting)
+        self.assertEqual(1, self.backend.in_flight)
