Cut a started stream when no server can go on with it

Cause: a resumable stream that broke at its first server asks the queue for another one. A server that answered the resumption with a failure had its body appended to the stream in the same way. Ruled out: the engine's own bytes, its run was cut by the instance.

Both now end as a broken stream. The two new tests fail before (1 error, 1 failure) and pass after; tests.entry.test_exchange: 25 passed.

--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -136,6 +136,9 @@
                 raise BrokenAnswerError from err
             raise self._late() from err
         except AzurewickError as err:
+            if self._relay.is_started:
+                # No server was free to go on with the stream.
+                raise BrokenAnswerError from err
             if self._runs and err.outcome is Outcome.NOT_RUN:
                 # The refused repeat doesn't undo the run before it.
                 raise self._late() from err
@@ -257,6 +260,10 @@
             )
         if head.is_success and (not head.is_signed or head.is_encoded):
             raise _failed(backend, "answer is not the backend server's own")
+        if self._relay.is_started and not head.is_success:
+            # The caller has the first part of a stream; another body would
+            # be taken for the rest of it.
+            raise _failed(backend, f"stream can't go on: {head.status}")
         if head.status >= 500 and self._can_run_again():
             raise _failed(backend, f"backend server failed: {head.status}")
 
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -242,6 +242,21 @@
             b"last-event-id: 2\r\n", self.servers[1].requests[0].lower()
         )
 
+    async def test_started_stream_is_cut_when_no_server_can_go_on(self):
+        first = STREAM_HEAD + chunk(b"id: 1\n\n")
+        with self.assertRaises(BrokenAnswerError):
+            await self.async_run(RESUMABLE, replies_then_resets(first))
+        self.assertEqual(b"id: 1\n\n", self.stand.writer.body)
+
+    async def test_failure_of_the_next_server_is_not_joined_to_a_stream(self):
+        first = STREAM_HEAD + chunk(b"id: 1\n\n")
+        failure = answer("500 Internal Server Error", b"oops")
+        with self.assertRaises(BrokenAnswerError):
+            await self.async_run(
+                RESUMABLE, replies_then_resets(first), replies(failure)
+            )
+        self.assertEqual(b"id: 1\n\n", self.stand.writer.body)
+
     async def test_stream_starts_again_when_nothing_was_sent(self):
         data = STREAM_HEAD + chunk(b"id: 1\n\n") + b"0\r\n\r\n"
         await self.async_run(RESUMABLE, replies(b""), replies(data))
