Send smaller peer reports, fewer to other regions; ask the store less

The quota levels, a quarter of a report, are only of use to an instance that has just started; the order to move a version was asked for every 2 s; each change of a server's entry cost a call of every instance.

The watch of the moves waits 10 s, that of the servers pauses 0.5 s after a change. Ruled out: longer waits for the configuration, which has to be in force 2.5 s after its confirmation and whose watch may go silent.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -28,6 +28,7 @@
 from azurewick.entry.gossip import PeerGossip
 from azurewick.entry.handler import EntryHandler
 from azurewick.entry.instances import InstanceDirectory
+from azurewick.entry.instances import PeerInstance
 from azurewick.entry.metrics import EntryMetrics
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
@@ -91,14 +92,15 @@
             self._peers.shared_fraction,
             monotonic_s(),
         )
-        self._gossip = PeerGossip(
-            settings.peer_address, self._build_report, self._take_report
+        own = PeerInstance(
+            address=settings.peer_address, region=settings.region
         )
+        self._gossip = PeerGossip(own, self._build_report, self._take_report)
         self._store = store
         self._directory = InstanceDirectory(
             store,
             settings.name,
-            settings.peer_address,
+            own,
             random,
             self._set_peers,
         )
@@ -193,29 +195,29 @@
         self._pools.apply_settings(settings)
         _LOGGER.info("settings reloaded", extra={"instance": settings.name})
 
-    def _set_peers(self, addresses: Mapping[str, str]) -> None:
-        self._peers.set_members(addresses)
-        self._gossip.set_peers(addresses)
+    def _set_peers(self, peers: Mapping[str, PeerInstance]) -> None:
+        self._peers.set_members(peers)
+        self._gossip.set_peers(peers)
 
     def _build_report(self, sequence: int) -> PeerReport:
         configuration = self.state.configuration
+        now_s = monotonic_s()
         return PeerReport(
             name=self.settings.name,
             incarnation=self._incarnation,
             sequence=sequence,
-            work=self._peers.demand.per_s(monotonic_s()),
+            work=self._peers.demand.per_s(now_s),
             in_flight={
                 backend.name: backend.in_flight
                 for backend in self.state.registry
                 if backend.in_flight
             },
             quota_used=self._limiter.used(),
+            wants_levels=not self._limiter.is_settled(now_s),
             quota_levels=(
                 {}
-                if configuration is None
-                else self._limiter.levels(
-                    configuration.customers, monotonic_s()
-                )
+                if configuration is None or not self._peers.wants_levels(now_s)
+                else self._limiter.levels(configuration.customers, now_s)
             ),
         )
 
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -11,9 +11,13 @@
 from dataclasses import replace
 from logging import getLogger
 from typing import Any
+from zlib import compress
+from zlib import decompressobj
+from zlib import error as ZlibError
 
 import orjson
 
+from azurewick.entry.instances import PeerInstance
 from azurewick.entry.peers import PeerReport
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -24,18 +28,26 @@
 
 _LOGGER = getLogger(__name__)
 
-# Reports are this old at most; a longest interval below the silence limit
-# allows for three lost datagrams.
+# Reports are this old at most; the longest interval allows for two lost
+# datagrams in a row before a peer in the other region counts as silent.
 SHORTEST_INTERVAL_S = 0.08
-LONGEST_INTERVAL_S = 0.3
+LONGEST_INTERVAL_S = 0.22
 # The interval grows with the instances, so that each one's datagrams a
 # second don't.
-INTERVAL_PER_PEER_S = 0.012
+INTERVAL_PER_PEER_S = 0.010
+# Peers in other regions get one report in so many: the link between regions
+# is narrow and billed by volume.
+FAR_REPORT_INTERVAL = 2
+# Fastest level; a report has a few hundred bytes.
+COMPRESSION_LEVEL = 1
+# Largest report after decompression: thousands of servers and customers.
+MAX_REPORT_BYTES = 262_144
 
 KEY_NAME = "n"
 KEY_INCARNATION = "i"
 KEY_SEQUENCE = "s"
 KEY_LEAVING = "l"
+KEY_WANTS_LEVELS = "a"
 KEY_WORK = "w"
 KEY_IN_FLIGHT = "f"
 KEY_QUOTA = "q"
@@ -44,18 +56,20 @@
 
 def encode_report(report: PeerReport) -> bytes:
     """Return the datagram of a report."""
-    return orjson.dumps(
+    body = orjson.dumps(
         {
             KEY_NAME: report.name,
             KEY_INCARNATION: report.incarnation,
             KEY_SEQUENCE: report.sequence,
             KEY_LEAVING: report.is_leaving,
+            KEY_WANTS_LEVELS: report.wants_levels,
             KEY_WORK: round(report.work, 2),
             KEY_IN_FLIGHT: dict(report.in_flight),
             KEY_QUOTA: _round(report.quota_used),
             KEY_LEVELS: _round(report.quota_levels),
         }
     )
+    return compress(body, COMPRESSION_LEVEL)
 
 
 def decode_report(data: bytes) -> PeerReport:
@@ -64,18 +78,19 @@
     Raises AzurewickError with code invalid_request.
     """
     try:
-        body = orjson.loads(data)
+        body = orjson.loads(_decompress(data))
         return PeerReport(
             name=_read_text(body, KEY_NAME),
             incarnation=int(body[KEY_INCARNATION]),
             sequence=int(body[KEY_SEQUENCE]),
             is_leaving=body[KEY_LEAVING] is True,
+            wants_levels=body[KEY_WANTS_LEVELS] is True,
             work=float(body[KEY_WORK]),
             in_flight=_read_counts(body[KEY_IN_FLIGHT]),
             quota_used=_read_counts(body[KEY_QUOTA]),
             quota_levels=_read_counts(body[KEY_LEVELS]),
         )
-    except (KeyError, TypeError, ValueError) as err:
+    except (KeyError, TypeError, ValueError, ZlibError) as err:
         raise AzurewickError(
             ErrorCode.INVALID_REQUEST,
             f"datagram is no report: {err!r}",
@@ -88,14 +103,16 @@
 
     def __init__(
         self,
-        address: str,
+        own: PeerInstance,
         build_report: Callable[[int], PeerReport],
         on_report: Callable[[PeerReport], None],
     ) -> None:
-        self._address = address
+        self._own = own
         self._build_report = build_report
         self._on_report = on_report
         self._peers: dict[str, tuple[str, int]] = {}
+        # Names of the peers in other regions.
+        self._far: frozenset[str] = frozenset()
         self._transport: DatagramTransport | None = None
         self._task: Task[None] | None = None
         self._sequence = 0
@@ -104,7 +121,7 @@
         """Open the port and start to send."""
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=split_address(self._address)
+            lambda: self, local_addr=split_address(self._own.address)
         )
         self._task = create_supervised_task("peer reports", self._async_send)
 
@@ -118,11 +135,16 @@
             self._send(replace(report, is_leaving=True))
             self._transport.close()
 
-    def set_peers(self, addresses: Mapping[str, str]) -> None:
-        """Take the addresses of the other instances by name."""
+    def set_peers(self, peers: Mapping[str, PeerInstance]) -> None:
+        """Take the other instances by name."""
         self._peers = {
-            name: split_address(address) for name, address in addresses.items()
+            name: split_address(peer.address) for name, peer in peers.items()
         }
+        self._far = frozenset(
+            name
+            for name, peer in peers.items()
+            if peer.region != self._own.region
+        )
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Take a datagram of a known peer."""
@@ -142,8 +164,12 @@
     def _send(self, report: PeerReport) -> None:
         assert self._transport is not None
         data = encode_report(report)
-        for peer in self._peers.values():
-            self._transport.sendto(data, peer)
+        skips_far = not report.is_leaving and (
+            report.sequence % FAR_REPORT_INTERVAL
+        )
+        for name, address in self._peers.items():
+            if not (skips_far and name in self._far):
+                self._transport.sendto(data, address)
 
     async def _async_send(self) -> None:
         while True:
@@ -160,6 +186,18 @@
             )
 
 
+def _decompress(data: bytes) -> bytes:
+    """Return the body of a datagram.
+
+    Raises ValueError when it is too large or incomplete, else ZlibError.
+    """
+    decompressor = decompressobj()
+    body = decompressor.decompress(data, MAX_REPORT_BYTES)
+    if not decompressor.eof:
+        raise ValueError("report is too large or incomplete")
+    return body
+
+
 def _round(amounts: Mapping[str, float]) -> dict[str, int]:
     return {name: round(amount) for name, amount in amounts.items()}
 
--- a/azurewick/entry/instances.py
+++ b/azurewick/entry/instances.py
@@ -6,6 +6,7 @@
 from asyncio import Task
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 from logging import getLogger
 from random import Random
 from typing import Any
@@ -24,6 +25,7 @@
 KIND_INSTANCES = "azurewick-instances"
 ATTR_BEAT = "beat"
 ATTR_ADDRESS = "address"
+ATTR_REGION = "region"
 HEARTBEAT_INTERVAL_S = 3.0
 # An instance that is cut off from the store still uses its shares, so the
 # others take them over only when cuts of some seconds are over. One that
@@ -33,6 +35,14 @@
 REMOVE_TIMEOUT_S = 0.3
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerInstance:
+    """Other entry instance; address is "IP:port" for datagrams."""
+
+    address: str
+    region: str
+
+
 class InstanceTable:
     """Statuses of the instances and the times at which they last changed."""
 
@@ -52,9 +62,9 @@
             known[name] = entry
         self._known = known
 
-    def live_peers(self, now_s: float) -> dict[str, str]:
-        """Return the addresses of the other live instances by name."""
-        peers: dict[str, str] = {}
+    def live_peers(self, now_s: float) -> dict[str, PeerInstance]:
+        """Return the other live instances by name."""
+        peers: dict[str, PeerInstance] = {}
         for name, (status, changed_s) in self._known.items():
             address = status.get(ATTR_ADDRESS)
             if (
@@ -63,14 +73,16 @@
                 and isinstance(address, str)
                 and is_address(address)
             ):
-                peers[name] = address
+                peers[name] = PeerInstance(
+                    address=address, region=str(status.get(ATTR_REGION, ""))
+                )
         return peers
 
 
 class InstanceDirectory:
     """Registers this instance in the store and finds the others.
 
-    on_peers gets the addresses of the live peers by name. An instance that
+    on_peers gets the live peers by name. An instance that
     can't read the store keeps the peers that it had.
     """
 
@@ -78,19 +90,19 @@
         self,
         store: StatusStore,
         name: str,
-        address: str,
+        own: PeerInstance,
         random: Random,
-        on_peers: Callable[[Mapping[str, str]], None],
+        on_peers: Callable[[Mapping[str, PeerInstance]], None],
     ) -> None:
         self._store = store
         self._name = name
-        self._address = address
+        self._own = own
         self._random = random
         self._on_peers = on_peers
         self._table = InstanceTable(name)
         self._beat = random.getrandbits(31)
         self._task: Task[None] | None = None
-        self._live: dict[str, str] | None = None
+        self._live: dict[str, PeerInstance] | None = None
 
     def start(self) -> None:
         """Start to send heartbeats."""
@@ -150,5 +162,9 @@
             plural=KIND_INSTANCES,
             name=self._name,
             version=0,
-            status={ATTR_BEAT: self._beat, ATTR_ADDRESS: self._address},
+            status={
+                ATTR_BEAT: self._beat,
+                ATTR_ADDRESS: self._own.address,
+                ATTR_REGION: self._own.region,
+            },
         )
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -42,7 +42,8 @@
     is_leaving says that it stops and uses nothing any more. in_flight
     counts its requests by backend server. quota_used is what it has taken
     of each customer's quota since its start, which incarnation names, and
-    quota_levels what it believes to be left of each. work is the nominal
+    quota_levels what it believes to be left of each, which is filled in for
+    peers that have just started: they set wants_levels. work is the nominal
     work a second that its callers ask for. A larger sequence is newer.
     """
 
@@ -50,6 +51,7 @@
     incarnation: int
     sequence: int
     is_leaving: bool = False
+    wants_levels: bool = False
     work: float = 0.0
     in_flight: Mapping[str, int] = field(default_factory=dict)
     quota_used: Mapping[str, float] = field(default_factory=dict)
@@ -162,6 +164,13 @@
         self._peers[report.name] = _Peer(report, now_s)
         return before_or_same
 
+    def wants_levels(self, now_s: float) -> bool:
+        """Return whether a peer has just started and asks for levels."""
+        return any(
+            peer.report.wants_levels and now_s - peer.heard_s <= SILENT_AFTER_S
+            for peer in self._peers.values()
+        )
+
     def slot_shares(self, now_s: float) -> SlotShares:
         """Return the shares in the servers' slots as of now."""
         even = [1.0 / self.count] * self.count
--- a/azurewick/entry/quota.py
+++ b/azurewick/entry/quota.py
@@ -105,11 +105,15 @@
             if bucket.used
         }
 
+    def is_settled(self, now_s: float) -> bool:
+        """Return whether this instance knows the levels by itself."""
+        return now_s - self._started_s >= SETTLED_AFTER_S
+
     def levels(
         self, customers: Mapping[str, CustomerQuota], now_s: float
     ) -> dict[str, float]:
         """Return what is left, once this instance knows it."""
-        if now_s - self._started_s < SETTLED_AFTER_S:
+        if not self.is_settled(now_s):
             return {}
         return {
             name: self._refill(customers[name], now_s).tokens
@@ -124,7 +128,7 @@
         now_s: float,
     ) -> None:
         """Take over the levels of a peer soon after this one's start."""
-        if now_s - self._started_s > SETTLED_AFTER_S:
+        if self.is_settled(now_s):
             return
         for name, level in levels.items():
             customer = customers.get(name)
--- a/azurewick/entry/watches.py
+++ b/azurewick/entry/watches.py
@@ -14,6 +14,7 @@
 from azurewick.helpers.clock import monotonic_s
 from azurewick.helpers.tasks import async_cancel
 from azurewick.helpers.tasks import create_supervised_task
+from azurewick.membership.watcher import PAUSE_S
 from azurewick.membership.watcher import StoreWatcher
 from azurewick.store.protocols import StatusStore
 from azurewick.store.protocols import StoredObject
@@ -21,6 +22,12 @@
 # A connection that has gone silent is noticed after one wait. A change of
 # the configuration has to be in force 2.5 s after its confirmation.
 WATCH_WAIT_S = 2.0
+# An order to move a version names minutes, and a call to the store is paid
+# for. Half of the store's shortest history.
+MOVES_WAIT_S = 10.0
+# Changes of the servers within this time cost one call. A leaving server
+# must get no new work 2.5 s after its notice.
+SERVERS_PAUSE_S = 0.5
 # The configuration is read again within a second of the store's return.
 MAX_BACKOFF_S = 0.6
 # The event loop's timers fire up to a millisecond early.
@@ -52,9 +59,12 @@
         self._watchers = (
             self._build(kinds.configuration, state.take_configuration),
             self._build(
-                kinds.servers, state.take_servers, self._set_servers_reachable
+                kinds.servers,
+                state.take_servers,
+                on_reachable=self._set_servers_reachable,
+                pause_s=SERVERS_PAUSE_S,
             ),
-            self._build(kinds.moves, state.take_moves),
+            self._build(kinds.moves, state.take_moves, wait_s=MOVES_WAIT_S),
         )
         self._tasks: list[Task[None]] = []
 
@@ -73,6 +83,9 @@
         self,
         kind: str,
         take: Callable[[Mapping[str, StoredObject]], None],
+        *,
+        wait_s: float = WATCH_WAIT_S,
+        pause_s: float = PAUSE_S,
         on_reachable: Callable[[bool], None] | None = None,
     ) -> StoreWatcher:
         return StoreWatcher(
@@ -81,8 +94,9 @@
             lambda items, _version: take(items),
             monotonic_s,
             self._random,
-            watch_timeout_s=WATCH_WAIT_S,
+            watch_timeout_s=wait_s,
             max_backoff_s=MAX_BACKOFF_S,
+            pause_s=pause_s,
             on_reachable=on_reachable,
         )
 
--- a/azurewick/membership/watcher.py
+++ b/azurewick/membership/watcher.py
@@ -22,6 +22,8 @@
 WATCH_TIMEOUT_S = 30.0
 # A store that ends each watch at once must not be asked in a busy loop.
 SHORTEST_WATCH_S = 1.0
+# Pause after a watch that ended early.
+PAUSE_S = 0.1
 # Only the relays watch, so that short waits don't burden a returning store.
 MAX_BACKOFF_S = 5.0
 
@@ -42,9 +44,11 @@
         *,
         watch_timeout_s: float = WATCH_TIMEOUT_S,
         max_backoff_s: float = MAX_BACKOFF_S,
+        pause_s: float = PAUSE_S,
         on_reachable: Callable[[bool], None] | None = None,
     ) -> None:
         self._watch_timeout_s = watch_timeout_s
+        self._pause_s = pause_s
         self._on_reachable = on_reachable
         self._store = store
         self._plural = plural
@@ -67,7 +71,7 @@
                 await self._async_handle_error(err)
                 continue
             if self._clock() - started_s < SHORTEST_WATCH_S:
-                await asyncio.sleep(self._backoff.next_wait_s(0.1))
+                await asyncio.sleep(self._backoff.next_wait_s(self._pause_s))
 
     async def _async_list(self) -> None:
         listed = await self._store.async_list(self._plural)
--- a/tests/entry/test_instances.py
+++ b/tests/entry/test_instances.py
@@ -11,6 +11,7 @@
 from azurewick.entry.instances import InstanceDirectory
 from azurewick.entry.instances import InstanceTable
 from azurewick.entry.instances import KIND_INSTANCES
+from azurewick.entry.instances import PeerInstance
 from azurewick.platform.store import PlatformStore
 from fakes.platform_store import FakePlatformStore
 
@@ -30,7 +31,10 @@
             },
             0.0,
         )
-        self.assertEqual({"e5": "127.0.0.1:5"}, table.live_peers(0.0))
+        self.assertEqual(
+            {"e5": PeerInstance(address="127.0.0.1:5", region="")},
+            table.live_peers(0.0),
+        )
 
     def test_peer_without_heartbeats_is_dead(self):
         table = InstanceTable("e1")
@@ -52,7 +56,11 @@
         self.addAsyncCleanup(fake.async_stop)
         self.addAsyncCleanup(store.async_close)
         directory = InstanceDirectory(
-            store, "e1", "127.0.0.1:1", Random(1), lambda peers: None
+            store,
+            "e1",
+            PeerInstance(address="127.0.0.1:1", region="home"),
+            Random(1),
+            lambda peers: None,
         )
         directory.start()
         self.addAsyncCleanup(directory.async_stop)
@@ -64,3 +72,4 @@
                 await asyncio.sleep(0.01)
         status = fake.objects[KIND_INSTANCES]["e1"]["status"]
         self.assertEqual("127.0.0.1:1", status["address"])
+        self.assertEqual("home", status["region"])
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+from unittest import IsolatedAsyncioTestCase
 from unittest import TestCase
+from zlib import compress
 
 from hypothesis import given
 from hypothesis import strategies
 
 from azurewick.entry.gossip import decode_report
 from azurewick.entry.gossip import encode_report
+from azurewick.entry.gossip import MAX_REPORT_BYTES
+from azurewick.entry.gossip import PeerGossip
+from azurewick.entry.gossip import SHORTEST_INTERVAL_S
+from azurewick.entry.instances import PeerInstance
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
 from azurewick.entry.peers import SILENT_AFTER_S
@@ -133,14 +140,84 @@
             return
 
     def test_malformed_reports_are_errors(self):
+        good = (
+            b'{"n":"e","i":1,"s":1,"l":false,"a":false,"w":1,"f":{},"q":{},'
+            b'"t":{}}'
+        )
+        self.assertEqual("e", decode_report(compress(good)).name)
         for data in (
             b"",
             b"[]",
             b"{}",
-            b'{"n":1,"i":1,"s":1,"l":false,"w":1,"f":{},"q":{},"t":{}}',
-            b'{"n":"e","i":1,"s":1,"l":false,"w":1,"f":[],"q":{},"t":{}}',
-            b'{"n":"e","i":1,"s":1,"l":false,"w":1,"f":{"a":"x"},"q":{},'
-            b'"t":{}}',
+            good.replace(b'"e"', b"1"),
+            good.replace(b'"f":{}', b'"f":[]'),
+            good.replace(b'"f":{}', b'"f":{"a":"x"}'),
+            good.replace(b',"t":{}', b""),
         ):
             with self.subTest(data), self.assertRaises(AzurewickError):
+                decode_report(compress(data))
+        for name, data in {
+            "not compressed": good,
+            "cut off": compress(good)[:-6],
+            "too large": compress(good + b" " * MAX_REPORT_BYTES),
+        }.items():
+            with self.subTest(name), self.assertRaises(AzurewickError):
                 decode_report(data)
+
+    def test_levels_are_asked_for_until_a_peer_has_settled(self):
+        view = build_peers("e1", "e1", "e2")
+        self.assertFalse(view.wants_levels(0.0))
+        view.take(build_report("e2", 1, wants_levels=True), 0.0)
+        self.assertTrue(view.wants_levels(0.5))
+        view.take(build_report("e2", 2), 0.6)
+        self.assertFalse(view.wants_levels(0.7))
+
+
+class GossipTest(IsolatedAsyncioTestCase):
+    """Guards against reports that fill the link between regions."""
+
+    async def test_other_regions_get_every_second_report(self):
+        near, far = [], []
+        gossip = PeerGossip(
+            PeerInstance(address="127.0.0.1:0", region="home"),
+            lambda sequence: build_report("e1", sequence),
+            lambda report: None,
+        )
+        receivers = [await async_receive(sent) for sent in (near, far)]
+        for receiver in receivers:
+            self.addCleanup(receiver.close)
+        ports = [one.get_extra_info("sockname")[1] for one in receivers]
+        gossip.set_peers(
+            {
+                "e2": PeerInstance(
+                    address=f"127.0.0.1:{ports[0]}", region="home"
+                ),
+                "e3": PeerInstance(
+                    address=f"127.0.0.1:{ports[1]}", region="away"
+                ),
+            }
+        )
+        await gossip.async_start()
+        await asyncio.sleep(6.5 * SHORTEST_INTERVAL_S)
+        await gossip.async_stop()
+        await asyncio.sleep(0.05)
+        self.assertTrue(far[-1].is_leaving)
+        sent = {report.sequence for report in near if not report.is_leaving}
+        self.assertEqual(
+            {number for number in sent if number % 2 == 0},
+            {report.sequence for report in far if not report.is_leaving},
+        )
+
+
+async def async_receive(reports):
+    """Return the transport of a port that adds what it receives."""
+
+    class Receiver(asyncio.DatagramProtocol):
+        def datagram_received(self, data, addr):
+            reports.append(decode_report(data))
+
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        Receiver, local_addr=("127.0.0.1", 0)
+    )
+    return transport
