--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of the entry instances."""
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak."""
--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,85 @@
+"""Tests of the loopback proxy of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from soak.proxy import FaultProxy
+from soak.proxy import LinkState
+
+SHORT_S = 0.15
+
+
+class FaultProxyTest(IsolatedAsyncioTestCase):
+    """Guards against faults that disturb nothing."""
+
+    async def asyncSetUp(self):
+        self.received: list[bytes] = []
+        server = await asyncio.start_server(self._async_echo, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.proxy = FaultProxy(server.sockets[0].getsockname()[1])
+        await self.proxy.async_start()
+        self.addAsyncCleanup(self.proxy.async_stop)
+
+    async def _async_echo(self, reader, writer):
+        try:
+            while data := await reader.read(100):
+                self.received.append(data)
+                writer.write(data)
+        except ConnectionError:
+            self.received.append(b"reset")
+        writer.close()
+
+    async def async_connect(self):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.proxy.port
+        )
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def test_open_link_passes_bytes(self):
+        reader, writer = await self.async_connect()
+        writer.write(b"one")
+        self.assertEqual(b"one", await reader.read(100))
+
+    async def test_delayed_link(self):
+        reader, writer = await self.async_connect()
+        self.proxy.set_state(LinkState.DELAYED, delay_s=SHORT_S)
+        started_s = asyncio.get_running_loop().time()
+        writer.write(b"one")
+        self.assertEqual(b"one", await reader.read(100))
+        took_s = asyncio.get_running_loop().time() - started_s
+        self.assertGreater(took_s, SHORT_S)
+
+    async def test_silent_link_holds_bytes_until_it_opens(self):
+        reader, writer = await self.async_connect()
+        self.proxy.set_state(LinkState.SILENT)
+        writer.write(b"one")
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(SHORT_S):
+                await reader.read(100)
+        self.assertEqual([], self.received)
+        self.proxy.set_state(LinkState.OPEN)
+        self.assertEqual(b"one", await reader.read(100))
+
+    async def test_link_that_is_cut_one_way(self):
+        reader, writer = await self.async_connect()
+        self.proxy.set_state(LinkState.NO_REPLIES)
+        writer.write(b"one")
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(SHORT_S):
+                await reader.read(100)
+        self.assertEqual([b"one"], self.received)
+
+    async def test_reset_ends_old_and_new_connections(self):
+        reader, writer = await self.async_connect()
+        writer.write(b"one")
+        await reader.read(100)
+        self.proxy.set_state(LinkState.RESET)
+        with self.assertRaises(ConnectionError):
+            await reader.read(100)
+        reader, writer = await self.async_connect()
+        with self.assertRaises(ConnectionError):
+            writer.write(b"two")
+            await reader.readexactly(3)
