Let few instances borrow the same free slot of a server

Cause: with 21 instances before engines of 11 slots, all instances see a slot that came free until the next report of the one that took it, and each that owns a share may always use one slot. Ruled out: idle slots, there were none.

An instance now borrows a free slot only when its turn, drawn anew every 0.2 s, lets about two of them do so, and keeps no slot at a full engine.

--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -66,7 +66,7 @@
             urgency=demand.urgency(now_s),
             arrived_s=now_s,
         )
-        budget_s = _wait_budget_s(demand, now_s)
+        budget_s = wait_budget_s(demand, now_s)
         wait_s = self._predict_wait_s(waiter.urgency, now_s)
         self._rates.add(waiter.urgency, demand.work.total_s, now_s)
         self._demand.add(demand.work.total_s, now_s)
@@ -130,7 +130,7 @@
             self.release(future.result())
 
 
-def _wait_budget_s(demand: Demand, now_s: float) -> float:
+def wait_budget_s(demand: Demand, now_s: float) -> float:
     """Return how long a request may wait."""
     left_s = max(0.0, demand.ends_s - now_s)
     if demand.is_on_time(now_s):
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -25,6 +25,11 @@
 # Requests beyond its slots that an engine may get when an instance takes its
 # share from one that has borrowed.
 OVERCOMMIT_SLOTS = 1
+# Instances that may borrow one free slot at the same time. All of them see
+# it until the borrower's next report, and would fill the engine's queue.
+BORROWERS_PER_SLOT = 2
+# Time after which others may borrow: about that between two reports.
+TURN_S = 0.2
 # Work a second that is added to each instance's demand, so that the first
 # few requests don't decide the shares.
 PRIOR_WORK = 0.5
@@ -75,8 +80,9 @@
     weights: Sequence[float]
     own_index: int
     in_flight: Sequence[Mapping[str, int] | None]
+    turn: int
 
-    def available(self, total: int, backend: str) -> int:
+    def available(self, total: int, backend: str, own_used: int = 0) -> int:
         """Return how many of a backend server's slots are ours to use.
 
         All that the others neither use nor may soon need, and at least our
@@ -100,10 +106,17 @@
             used = share if counts is None else counts.get(backend, 0)
             in_flight += used
             reserved += max(floor(KEPT_PART * share), used)
-        return max(
-            total - reserved,
-            min(own, max(1, total + OVERCOMMIT_SLOTS - in_flight)),
-        )
+        own_free = min(own, max(0, total + OVERCOMMIT_SLOTS - in_flight))
+        free = total - reserved
+        if free > own_free and not self._may_borrow(free - own_used, backend):
+            return max(own_free, own_used)
+        return max(own_free, free)
+
+    def _may_borrow(self, free: int, backend: str) -> bool:
+        """Return whether this instance's turn allows it to borrow a slot."""
+        turn = f"{self.own_index}/{backend}/{self.turn}"
+        drawn = crc32(turn.encode()) / 2**32
+        return drawn * len(self.weights) < BORROWERS_PER_SLOT * free
 
 
 class PeerView:
@@ -177,6 +190,7 @@
         return SlotShares(
             weights=even if self._has_silent(now_s) else self._weights(now_s),
             own_index=self._members.index(self._own_name),
+            turn=int(now_s / TURN_S),
             in_flight=[
                 None
                 if self._is_silent(name, now_s)
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -115,7 +115,12 @@
             total = backend.entry.slots
             if not backend.is_engine:
                 total = round(total * PLAIN_SHARE_MARGIN)
-            limits.append((backend, shares.available(total, backend.name)))
+            limits.append(
+                (
+                    backend,
+                    shares.available(total, backend.name, backend.in_flight),
+                )
+            )
         return limits
 
     def _cost(
