Take a request late in a drain only if its longest answer fits

The filter now counts the announced maximum of output tokens at the slowest server, and the wait until the target. Ruled out: a kill before the grace time was over, the process had ended by itself.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -111,7 +111,7 @@
                 (
                     RouteFilter(self.state),
                     DrainFilter(
-                        self._drain, self._pools.expect_run_s, monotonic_s
+                        self._drain, self._pools.longest_run_s, monotonic_s
                     ),
                     CustomerFilter(),
                     BodyFilter(),
--- a/azurewick/entry/drain.py
+++ b/azurewick/entry/drain.py
@@ -10,7 +10,8 @@
 # Callers that come before the balancer has noticed are served in any case:
 # most of their requests end in time.
 SERVES_ALL_S = 2.9
-# Requests take up to this multiple of the expected time, and this much more.
+# A busy server takes up to this multiple of the learned time, and this much
+# more.
 RUN_MARGIN_FACTOR = 1.5
 RUN_MARGIN_S = 0.3
 
@@ -41,8 +42,8 @@
         assert self._started_s is not None
         return self._started_s + self.grace_s - KILL_MARGIN_S
 
-    def takes(self, now_s: float, expected_run_s: float) -> bool:
-        """Return whether a request that comes now can still end.
+    def takes(self, now_s: float, longest_run_s: float) -> bool:
+        """Return whether a request that comes now ends before the stop.
 
         The balancer goes on sending to a draining instance when no other
         one of its failure domain is ready.
@@ -51,5 +52,5 @@
             return True
         if now_s < self._started_s + SERVES_ALL_S:
             return True
-        run_s = expected_run_s * RUN_MARGIN_FACTOR + RUN_MARGIN_S
+        run_s = longest_run_s * RUN_MARGIN_FACTOR + RUN_MARGIN_S
         return now_s + run_s < self.stops_s()
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -65,11 +65,11 @@
     def __init__(
         self,
         drain: Drain,
-        expect_run_s: Callable[[Route, CallerRequest], float],
+        longest_run_s: Callable[[Route, CallerRequest], float],
         clock: Callable[[], float],
     ) -> None:
         self._drain = drain
-        self._expect_run_s = expect_run_s
+        self._longest_run_s = longest_run_s
         self._clock = clock
 
     async def async_apply(self, context: EntryContext) -> None:
@@ -77,7 +77,10 @@
         if not self._drain.is_active:
             return
         assert context.route is not None
-        run_s = self._expect_run_s(context.route, context.request)
+        # It may wait for a server until its target.
+        run_s = context.route.target_s + self._longest_run_s(
+            context.route, context.request
+        )
         if self._drain.takes(self._clock(), run_s):
             return
         raise AzurewickError(
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -96,15 +96,15 @@
         for parts in self._parts.values():
             parts.retries = self._build_retries()
 
-    def expect_run_s(self, route: Route, request: CallerRequest) -> float:
-        """Return how long a request is expected to run at a server."""
+    def longest_run_s(self, route: Route, request: CallerRequest) -> float:
+        """Return how long a request may run at the slowest server."""
         slowdowns = [
             backend.slowdown
             for service in route.services
             for backend in self._candidates(service.name)
         ]
         slowdown = max(slowdowns, default=1.0)
-        return self._work.estimate(route, request).total_s * slowdown
+        return self._work.longest_s(route, request) * slowdown
 
     def fill(self) -> None:
         """Give free slots to waiting requests."""
--- a/azurewick/entry/work.py
+++ b/azurewick/entry/work.py
@@ -62,6 +62,12 @@
         work = measure_work(request, output)
         return replace(work, value=self._value(route, request))
 
+    def longest_s(self, route: Route, request: CallerRequest) -> float:
+        """Return the work in seconds if the answer takes its maximum."""
+        if not route.has_prompt:
+            return NOMINAL_PLAIN_S
+        return measure_work(request, request.output_tokens).total_s
+
     def learn(
         self, route: Route, request: CallerRequest, output_tokens: int
     ) -> None:
