--- a/azurewick/entry/instances.py
+++ b/azurewick/entry/instances.py
@@ -119,7 +119,7 @@
             async with asyncio.timeout(REMOVE_TIMEOUT_S):
                 await self._store.async_delete(self._object())
         except (AzurewickError, TimeoutError) as err:
-            _LOGGER.warning("can't remove this instance's entry: %s", err)
+            _LOGGER.warning("can't remove this instance's entry: %r", err)
 
     async def _async_run(self) -> None:
         while True:
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -162,10 +162,7 @@
         await _async_work(RUN_S * self.misbehaviour.slowdown, reader)
         if self._random.random() < self.misbehaviour.mute:
             raise ConnectionResetError("the answer is lost")
-        if self._random.random() < self.misbehaviour.error:
-            body = b"failed"
-            writer.write(_head("500 Error", run.request_id, body, len(body)))
-            writer.write(body)
+        if self._write_failure(run, writer):
             return
         body = plain_body(run.request_id, run.path)
         writer.write(_head("200 OK", run.request_id, body, len(body)))
@@ -177,10 +174,21 @@
         await writer.drain()
         run.is_spoiled = False
 
+    def _write_failure(self, run: Run, writer: StreamWriter) -> bool:
+        """Answer with a failure by chance; return whether it did."""
+        if self._random.random() >= self.misbehaviour.error:
+            return False
+        body = b"failed"
+        writer.write(_head("500 Error", run.request_id, body, len(body)))
+        writer.write(body)
+        return True
+
     async def _async_stream(
         self, run: Run, last: int, reader: StreamReader, writer: StreamWriter
     ) -> None:
         request_id = run.request_id
+        if self._write_failure(run, writer):
+            return
         writer.write(_head("200 OK", request_id, stream_body(request_id)))
         for number in range(last + 1, event_count(request_id) + 1):
             await _async_work(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -218,6 +218,7 @@
                 Misbehaviour(torn=0.3),
                 Misbehaviour(mute=0.3),
                 Misbehaviour(reject=0.6),
+                Misbehaviour(error=0.4, torn=0.2, reject=0.2),
                 Misbehaviour(slowdown=8.0),
             )
         )
