Avoid servers that fail more requests than others, over all instances

Cause: a server that fails or hangs 40 % of its requests while its health is good kept its share: three failures in a row eject it, which rarely come up, and with 21 instances each one sends it a request in 2 s.

Instances now report the outcomes of the last seconds by server; one that fails at least a fifth, and three times what is usual, gets requests only when no other server has a free slot. A caller that leaves a server silent for two seconds counts as a failure of the server. Outcomes fade within seconds, so that a server is tried again. Ruled out: status checks, which are good at these servers and priced.

Model of the test, a server that fails 45 % among 20, 21 instances, 3000 requests in 10 s: 78 failures before, 18 after. A compressed report of 22 servers and 16 customers grows from 406 to 540 bytes.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -25,11 +25,13 @@
 from azurewick.entry.filters import DrainFilter
 from azurewick.entry.filters import QuotaFilter
 from azurewick.entry.filters import RouteFilter
+from azurewick.entry.gossip import OUTCOME_UNIT
 from azurewick.entry.gossip import PeerGossip
 from azurewick.entry.handler import EntryHandler
 from azurewick.entry.instances import InstanceDirectory
 from azurewick.entry.instances import PeerInstance
 from azurewick.entry.metrics import EntryMetrics
+from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
 from azurewick.entry.protocols import WireProtocol
@@ -212,6 +214,7 @@
                 for backend in self.state.registry
                 if backend.in_flight
             },
+            outcomes=self._recent_outcomes(now_s),
             quota_used=self._limiter.used(),
             wants_levels=not self._limiter.is_settled(now_s),
             quota_levels=(
@@ -221,6 +224,17 @@
             ),
         )
 
+    def _recent_outcomes(self, now_s: float) -> dict[str, OutcomeCount]:
+        counts = {
+            backend.name: backend.outcomes.count(now_s)
+            for backend in self.state.registry
+        }
+        return {
+            name: one
+            for name, one in counts.items()
+            if one.ended >= OUTCOME_UNIT
+        }
+
     def _take_report(self, report: PeerReport) -> None:
         now_s = monotonic_s()
         before = self._peers.take(report, now_s)
--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -5,9 +5,11 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 
 from azurewick.entry.models import BackendEntry
+from azurewick.entry.outcomes import RecentOutcomes
 
 # A server that failed gets no requests for this long; the time doubles with
 # each further failure in a row.
@@ -40,6 +42,7 @@
     ejections: int = 0
     ejected_until_s: float = 0.0
     slowdown: float = 1.0
+    outcomes: RecentOutcomes = field(default_factory=RecentOutcomes)
 
     @property
     def name(self) -> str:
@@ -55,8 +58,9 @@
         """Return whether the server may get new work."""
         return not self.entry.is_draining and now_s >= self.ejected_until_s
 
-    def record_success(self) -> None:
+    def record_success(self, now_s: float) -> None:
         """Note a sound answer; it ends a series of failures."""
+        self.outcomes.add(now_s, failed=False)
         self.failures = 0
         self.ejections = 0
 
@@ -69,6 +73,7 @@
 
     def record_failure(self, now_s: float, *, is_unreachable: bool) -> bool:
         """Count a failure; return whether the server is ejected by it."""
+        self.outcomes.add(now_s, failed=True)
         self.failures += 1
         if not is_unreachable and self.failures < FAILURES_UNTIL_EJECTED:
             return False
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -224,10 +224,20 @@
             self._fail(
                 backend, _failed(backend, f"answer broke: {err!r}"), cause=err
             )
+        except asyncio.CancelledError:
+            self._note_silence(backend, attempt)
+            raise
         finally:
             if response is not None:
                 response.close()
 
+    def _note_silence(self, backend: Backend, attempt: AttemptTrace) -> None:
+        """Count it as a failure when a caller leaves a silent server."""
+        now_s = self._parts.clock()
+        silent_s = now_s - self._started_s - attempt.sent_s
+        if attempt.first_byte_s is None and silent_s >= FIRST_EVENT_SILENCE_S:
+            backend.record_failure(now_s, is_unreachable=False)
+
     def _fail(
         self,
         backend: Backend,
@@ -283,7 +293,7 @@
         if head.status >= 500:
             backend.record_failure(now_s, is_unreachable=False)
             return
-        backend.record_success()
+        backend.record_success(now_s)
         if not self._route.is_stream:
             backend.record_slowdown(now_s - sent_s, NOMINAL_PLAIN_S)
 
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -18,6 +18,7 @@
 import orjson
 
 from azurewick.entry.instances import PeerInstance
+from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import PeerReport
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -40,6 +41,8 @@
 FAR_REPORT_INTERVAL = 2
 # Fastest level; a report has a few hundred bytes.
 COMPRESSION_LEVEL = 1
+# Outcomes are sent as whole numbers of this.
+OUTCOME_UNIT = 0.1
 # Largest report after decompression: thousands of servers and customers.
 MAX_REPORT_BYTES = 262_144
 
@@ -50,6 +53,7 @@
 KEY_WANTS_LEVELS = "a"
 KEY_WORK = "w"
 KEY_IN_FLIGHT = "f"
+KEY_OUTCOMES = "o"
 KEY_QUOTA = "q"
 KEY_LEVELS = "t"
 
@@ -65,6 +69,13 @@
             KEY_WANTS_LEVELS: report.wants_levels,
             KEY_WORK: round(report.work, 2),
             KEY_IN_FLIGHT: dict(report.in_flight),
+            KEY_OUTCOMES: {
+                name: [
+                    round(one.ended / OUTCOME_UNIT),
+                    round(one.failed / OUTCOME_UNIT),
+                ]
+                for name, one in report.outcomes.items()
+            },
             KEY_QUOTA: _round(report.quota_used),
             KEY_LEVELS: _round(report.quota_levels),
         }
@@ -87,6 +98,7 @@
             wants_levels=body[KEY_WANTS_LEVELS] is True,
             work=float(body[KEY_WORK]),
             in_flight=_read_counts(body[KEY_IN_FLIGHT]),
+            outcomes=_read_outcomes(body[KEY_OUTCOMES]),
             quota_used=_read_counts(body[KEY_QUOTA]),
             quota_levels=_read_counts(body[KEY_LEVELS]),
         )
@@ -209,6 +221,17 @@
     return value
 
 
+def _read_outcomes(body: Any) -> dict[str, OutcomeCount]:
+    if not isinstance(body, dict):
+        raise TypeError("outcomes are no table")
+    return {
+        name: OutcomeCount(
+            ended=int(ended) * OUTCOME_UNIT, failed=int(failed) * OUTCOME_UNIT
+        )
+        for name, (ended, failed) in body.items()
+    }
+
+
 def _read_counts(body: Any) -> dict[str, int]:
     if not isinstance(body, dict):
         raise TypeError("counts are no table")
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -12,6 +12,7 @@
 from math import floor
 from zlib import crc32
 
+from azurewick.entry.outcomes import OutcomeCount
 from azurewick.util.decaying_rate import DecayingRate
 
 # A peer that is silent for this long is taken to use its shares in full.
@@ -52,7 +53,8 @@
     """What an instance tells the others, several times a second.
 
     is_leaving says that it stops and uses nothing any more. in_flight
-    counts its requests by backend server. quota_used is what it has taken
+    counts its requests by backend server, and outcomes how those of the
+    last seconds ended there. quota_used is what it has taken
     of each customer's quota since its start, which incarnation names, and
     quota_levels what it believes to be left of each, which is filled in for
     peers that have just started: they set wants_levels. work is the nominal
@@ -66,6 +68,7 @@
     wants_levels: bool = False
     work: float = 0.0
     in_flight: Mapping[str, int] = field(default_factory=dict)
+    outcomes: Mapping[str, OutcomeCount] = field(default_factory=dict)
     quota_used: Mapping[str, float] = field(default_factory=dict)
     quota_levels: Mapping[str, float] = field(default_factory=dict)
 
@@ -174,6 +177,8 @@
         self._peers: dict[str, _Peer] = {}
         self._shares: SlotShares | None = None
         self._shares_s = 0.0
+        self._outcomes: Mapping[str, OutcomeCount] | None = None
+        self._outcomes_s = 0.0
         # Incarnations of the peers that have left.
         self._left: dict[str, int] = {}
         self._members: tuple[str, ...] = (
@@ -240,6 +245,25 @@
             self._shares_s = now_s
         return self._shares
 
+    def outcomes(self, now_s: float) -> Mapping[str, OutcomeCount]:
+        """Return what the peers have seen at each server."""
+        if self._outcomes is None or not (
+            0 <= now_s - self._outcomes_s < SHARES_VALID_S
+        ):
+            self._outcomes = self._sum_outcomes(now_s)
+            self._outcomes_s = now_s
+        return self._outcomes
+
+    def _sum_outcomes(self, now_s: float) -> Mapping[str, OutcomeCount]:
+        sums: dict[str, OutcomeCount] = {}
+        for name, peer in self._peers.items():
+            if self._is_silent(name, now_s):
+                continue
+            for server, one in peer.report.outcomes.items():
+                known = sums.get(server)
+                sums[server] = one if known is None else known + one
+        return sums
+
     def _build_shares(self, now_s: float) -> SlotShares:
         even = [1.0 / self.count] * self.count
         return SlotShares(
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -8,6 +8,8 @@
 from typing import Protocol
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.outcomes import find_suspects
+from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import PeerView
 from azurewick.entry.request_queue import Demand
 
@@ -76,8 +78,9 @@
     ) -> Backend | None:
         """Return a server with a free slot, or None.
 
-        Servers that can meet the target go first, then those that can end
-        the answer before the caller leaves.
+        Servers that fail more requests than others go last. Of the rest,
+        those that can meet the target go first, then those that can end the
+        answer before the caller leaves.
         """
         free = [
             (backend, limit)
@@ -90,9 +93,11 @@
         mean_slowdown = sum(one.slowdown for one in candidates) / len(
             candidates
         )
+        suspects = self._suspects(candidates, now_s)
         return min(
             free,
             key=lambda item: (
+                item[0].name in suspects,
                 _is_late(item[0], demand, now_s),
                 _is_cut(item[0], demand, now_s),
                 self._cost(item[0], item[1], mean_slowdown),
@@ -123,6 +128,19 @@
             )
         return limits
 
+    def _suspects(
+        self, candidates: Sequence[Backend], now_s: float
+    ) -> frozenset[str]:
+        peers = self._peers.outcomes(now_s)
+        nothing = OutcomeCount()
+        return find_suspects(
+            {
+                one.name: one.outcomes.count(now_s)
+                + peers.get(one.name, nothing)
+                for one in candidates
+            }
+        )
+
     def _cost(
         self, backend: Backend, limit: int, mean_slowdown: float
     ) -> float:
--- a/tests/entry/test_backends.py
+++ b/tests/entry/test_backends.py
@@ -66,7 +66,7 @@
         backend = Backend(entry=build_entry())
         for _ in range(20):
             backend.record_failure(0.0, is_unreachable=False)
-            backend.record_success()
+            backend.record_success(0.0)
         self.assertTrue(backend.is_available(0.0))
 
     def test_failures_in_a_row_eject_until_a_success(self):
@@ -74,5 +74,5 @@
         for _ in range(FAILURES_UNTIL_EJECTED):
             backend.record_failure(0.0, is_unreachable=False)
         self.assertFalse(backend.is_available(0.5))
-        backend.record_success()
+        backend.record_success(0.0)
         self.assertEqual(0, backend.failures)
--- /dev/null
+++ b/tests/entry/test_outcomes.py
@@ -0,0 +1,109 @@
+"""Tests of how failing servers are found.
+
+Load: 20 servers, of which one or a few fail a part of their requests while
+their health is good; each of 21 instances sees a small part of it.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from unittest import TestCase
+
+from azurewick.entry.backends import Backend
+from azurewick.entry.outcomes import find_suspects
+from azurewick.entry.outcomes import OutcomeCount
+from azurewick.entry.outcomes import RecentOutcomes
+from azurewick.entry.peers import PeerReport
+from tests.entry.builders import build_demand
+from tests.entry.builders import build_entry
+from tests.entry.builders import build_peers
+from tests.entry.builders import build_placement
+
+INSTANCES = 21
+SERVERS = 20
+
+
+def build_counts(**failed) -> dict[str, OutcomeCount]:
+    """Return ten outcomes at each of five servers."""
+    return {
+        f"s{index}": OutcomeCount(
+            ended=10.0, failed=failed.get(f"s{index}", 0)
+        )
+        for index in range(1, 6)
+    }
+
+
+class SuspectTest(TestCase):
+    """Guards against servers that fail on, and against false suspicion."""
+
+    def test_server_that_fails_more_than_others(self):
+        self.assertEqual({"s2"}, find_suspects(build_counts(s2=4.0)))
+
+    def test_few_failures_may_be_the_requests_own(self):
+        self.assertEqual(set(), find_suspects(build_counts(s2=2.0)))
+
+    def test_failures_of_the_whole_service_suspect_nobody(self):
+        for count in (3, 5):
+            failed = {f"s{index}": 5.0 for index in range(1, count + 1)}
+            with self.subTest(count):
+                self.assertEqual(set(), find_suspects(build_counts(**failed)))
+
+    def test_usual_failures_raise_the_limit(self):
+        usual = {f"s{index}": 1.4 for index in range(1, 5)}
+        self.assertEqual(set(), find_suspects(build_counts(**usual, s5=4.0)))
+        self.assertEqual({"s5"}, find_suspects(build_counts(**usual, s5=5.0)))
+
+    def test_no_servers(self):
+        self.assertEqual(set(), find_suspects({}))
+
+    def test_outcomes_are_forgotten(self):
+        outcomes = RecentOutcomes()
+        for _ in range(5):
+            outcomes.add(1.0, failed=True)
+        self.assertAlmostEqual(5.0, outcomes.count(1.0).failed)
+        self.assertLess(outcomes.count(6.0).failed, 1.0)
+
+
+class GreyServerTest(TestCase):
+    """Guards against instances that each see too little to notice."""
+
+    def test_failing_server_gets_little_once_the_instances_compare(self):
+        shared, alone = play_grey_server(True), play_grey_server(False)
+        self.assertLess(shared, 0.5 * alone)
+
+
+def play_grey_server(reports_outcomes: bool) -> int:
+    """Return how many of 3,000 requests in 10 s a grey server fails."""
+    random = Random(1)
+    names = [f"e{index}" for index in range(INSTANCES)]
+    peers = [build_peers(name, *names) for name in names]
+    placements = [build_placement(one) for one in peers]
+    backends = [
+        [Backend(entry=build_entry(f"s{index}")) for index in range(SERVERS)]
+        for _ in names
+    ]
+    failed = 0
+    for step in range(3000):
+        now_s = 1.0 + step / 300
+        if step % 60 == 0:
+            for index, name in enumerate(names):
+                outcomes = {
+                    one.name: one.outcomes.count(now_s)
+                    for one in backends[index]
+                }
+                report = PeerReport(
+                    name=name,
+                    incarnation=1,
+                    sequence=step + 1,
+                    outcomes=outcomes if reports_outcomes else {},
+                )
+                for view in peers:
+                    view.take(report, now_s)
+        index = random.randrange(INSTANCES)
+        chosen = placements[index].choose(
+            backends[index], build_demand(), now_s
+        )
+        fails = chosen.name == "s3" and random.random() < 0.45
+        chosen.outcomes.add(now_s, failed=fails)
+        failed += fails
+    return failed
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -18,6 +18,7 @@
 from azurewick.entry.gossip import PeerGossip
 from azurewick.entry.gossip import SHORTEST_INTERVAL_S
 from azurewick.entry.instances import PeerInstance
+from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
 from azurewick.entry.peers import SILENT_AFTER_S
@@ -176,6 +177,12 @@
             "e2", 3, work=1.5, in_flight={"s1": 2}, quota_used={"n": 12.0}
         )
         self.assertEqual(report, decode_report(encode_report(report)))
+        failing = build_report(
+            "e2", outcomes={"s1": OutcomeCount(ended=4.24, failed=2.0)}
+        )
+        outcomes = decode_report(encode_report(failing)).outcomes
+        self.assertAlmostEqual(4.2, outcomes["s1"].ended)
+        self.assertAlmostEqual(2.0, outcomes["s1"].failed)
 
     @given(strategies.binary(max_size=200))
     def test_any_bytes_give_a_report_or_an_error(self, data):
@@ -186,8 +193,8 @@
 
     def test_malformed_reports_are_errors(self):
         good = (
-            b'{"n":"e","i":1,"s":1,"l":false,"a":false,"w":1,"f":{},"q":{},'
-            b'"t":{}}'
+            b'{"n":"e","i":1,"s":1,"l":false,"a":false,"w":1,"f":{},"o":{},'
+            b'"q":{},"t":{}}'
         )
         self.assertEqual("e", decode_report(compress(good)).name)
         for data in (
@@ -198,6 +205,8 @@
             good.replace(b'"f":{}', b'"f":[]'),
             good.replace(b'"f":{}', b'"f":{"a":"x"}'),
             good.replace(b',"t":{}', b""),
+            good.replace(b'"o":{}', b'"o":[]'),
+            good.replace(b'"o":{}', b'"o":{"a":[1]}'),
         ):
             with self.subTest(data), self.assertRaises(AzurewickError):
                 decode_report(compress(data))
