Let servers misbehave more often in the soak

The fault needs a torn stream and a failing or refusing server at once, which one misbehaviour in 17 faults rarely gives.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -62,6 +62,8 @@
             self._async_forget_history,
             self._async_break_front,
             self._async_break_backend_link,
+            # Twice, as one server's fault alone rarely meets another one.
+            self._async_misbehave,
             self._async_misbehave,
             self._async_drain_backend,
             self._async_crash_backend,
