Log when a server is ejected, suspected and trusted again

Cause: both change what an instance believes and where requests go, and the log said neither. One line a change, with the counts that decided it.

--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from logging import getLogger
 
 from aiohttp import ClientError
 from aiohttp import ClientResponse
@@ -33,6 +34,8 @@
 from azurewick.errors import Outcome
 from azurewick.errors import Step
 
+_LOGGER = getLogger(__name__)
+
 # Rejections after which a request is refused. A rejected request hasn't run,
 # so they don't count as attempts, but each one costs the shared budget.
 MAX_REJECTIONS = 2
@@ -236,7 +239,7 @@
         now_s = self._parts.clock()
         silent_s = now_s - self._started_s - attempt.sent_s
         if attempt.first_byte_s is None and silent_s >= FIRST_EVENT_SILENCE_S:
-            backend.record_failure(now_s, is_unreachable=False)
+            _record_failure(backend, now_s)
 
     def _fail(
         self,
@@ -249,7 +252,8 @@
             self._runs -= 1
             self._rejections += 1
         if error.code is not ErrorCode.OVERLOADED:
-            backend.record_failure(
+            _record_failure(
+                backend,
                 self._parts.clock(),
                 is_unreachable=error.code is ErrorCode.BACKEND_UNREACHABLE,
             )
@@ -291,7 +295,7 @@
     ) -> None:
         now_s = self._parts.clock()
         if head.status >= 500:
-            backend.record_failure(now_s, is_unreachable=False)
+            _record_failure(backend, now_s)
             return
         backend.record_success(now_s)
         if not self._route.is_stream:
@@ -346,6 +350,22 @@
         )
 
 
+def _record_failure(
+    backend: Backend, now_s: float, *, is_unreachable: bool = False
+) -> None:
+    """Count a failure; log it when the server is ejected by it."""
+    if backend.record_failure(now_s, is_unreachable=is_unreachable):
+        _LOGGER.info(
+            "backend server ejected",
+            extra={
+                "backend_server": backend.name,
+                "is_unreachable": is_unreachable,
+                "ejections": backend.ejections,
+                "pause_s": round(backend.ejected_until_s - now_s, 3),
+            },
+        )
+
+
 def _failed(backend: Backend, message: str) -> AzurewickError:
     return AzurewickError(
         ErrorCode.BACKEND_FAILED,
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+from logging import getLogger
 from random import Random
 from typing import Protocol
 
@@ -13,6 +14,8 @@
 from azurewick.entry.peers import PeerView
 from azurewick.entry.request_queue import Demand
 
+_LOGGER = getLogger(__name__)
+
 # Plain services queue a few requests beyond their slots, which costs less
 # than a refusal.
 PLAIN_SHARE_MARGIN = 2.0
@@ -62,6 +65,8 @@
         self._regions = regions
         self._region = regions.get(failure_domain, "")
         self._random = random
+        # Servers that went last when they were last looked at.
+        self._suspected: frozenset[str] = frozenset()
 
     def capacity(self, candidates: Sequence[Backend], now_s: float) -> float:
         """Return the nominal work a second that this instance may place."""
@@ -131,15 +136,26 @@
     def _suspects(
         self, candidates: Sequence[Backend], now_s: float
     ) -> frozenset[str]:
+        """Return the candidates that fail more than others; log changes."""
         peers = self._peers.outcomes(now_s)
         nothing = OutcomeCount()
-        return find_suspects(
-            {
-                one.name: one.outcomes.count(now_s)
-                + peers.get(one.name, nothing)
-                for one in candidates
-            }
-        )
+        counts = {
+            one.name: one.outcomes.count(now_s) + peers.get(one.name, nothing)
+            for one in candidates
+        }
+        suspects = find_suspects(counts)
+        for name in (self._suspected & counts.keys()) ^ suspects:
+            _LOGGER.info(
+                "backend server %s",
+                "suspected" if name in suspects else "trusted again",
+                extra={
+                    "backend_server": name,
+                    "ended": round(counts[name].ended, 1),
+                    "failed": round(counts[name].failed, 1),
+                },
+            )
+        self._suspected = (self._suspected - counts.keys()) | suspects
+        return suspects
 
     def _cost(
         self, backend: Backend, limit: int, mean_slowdown: float
--- a/tests/entry/test_outcomes.py
+++ b/tests/entry/test_outcomes.py
@@ -71,6 +71,23 @@
         shared, alone = play_grey_server(True), play_grey_server(False)
         self.assertLess(shared, 0.5 * alone)
 
+    def test_suspicion_and_its_end_are_logged_once(self):
+        placement = build_placement(build_peers("e1", "e1"))
+        backends = [
+            Backend(entry=build_entry(f"s{index}")) for index in range(3)
+        ]
+        for _ in range(6):
+            backends[0].outcomes.add(1.0, failed=True)
+        with self.assertLogs("azurewick.entry.placement") as logs:
+            for now_s in (1.0, 1.1, 30.0, 30.1):
+                placement.choose(backends, build_demand(), now_s)
+        self.assertEqual(
+            ["backend server suspected", "backend server trusted again"],
+            [record.getMessage() for record in logs.records],
+        )
+        self.assertEqual("s0", logs.records[0].backend_server)
+        self.assertEqual(6.0, logs.records[0].failed)
+
 
 def play_grey_server(reports_outcomes: bool) -> int:
     """Return how many of 3,000 requests in 10 s a grey server fails."""
