Remove the Retry-After spreader that nothing runs

Only its test used RetryAfterSpreader; the entry instance spreads with spread_retry_s, which had no test.

--- a/azurewick/admission/retry_budget.py
+++ b/azurewick/admission/retry_budget.py
@@ -1,9 +1,8 @@
-"""Limit on repeated offers, and times at which callers should return."""
+"""Limit on repeated offers."""
 
 from __future__ import annotations
 
 from collections import deque
-import random
 from typing import Final
 
 RETRY_WINDOW_S: Final = 10.0
@@ -17,9 +16,6 @@
 LATE_RATIO: Final = 0.05
 LATE_ALLOWANCE: Final = 1
 
-MIN_RETRY_AFTER_S: Final = 1.0
-MAX_RETRY_AFTER_S: Final = 120.0
-
 
 class _WindowCount:
     """Count of events in a sliding window, in buckets of a tenth of it."""
@@ -79,35 +75,3 @@
     A gateway offers such a request without a deadline.
     """
     return RetryBudget(ratio=LATE_RATIO, allowance=LATE_ALLOWANCE)
-
-
-class RetryAfterSpreader:
-    """Spread the return times of refused callers.
-
-    Callers that were refused together would otherwise return together. The
-    span grows with the refusals against the requests that were served.
-    """
-
-    def __init__(self, seed: int, window_s: float = RETRY_WINDOW_S) -> None:
-        self._random = random.Random(seed)
-        self._window_s = window_s
-        self._refused = _WindowCount(window_s)
-        self._served = _WindowCount(window_s)
-
-    def record_served(self, now_s: float) -> None:
-        """Record a request that was served."""
-        self._served.add(now_s)
-
-    def retry_after_s(self, wait_s: float | None, now_s: float) -> float:
-        """Return the time after which a refused caller should return.
-
-        wait_s is the time until the queue has drained enough.
-        """
-        self._refused.add(now_s)
-        refused = self._refused.total(now_s)
-        served_per_s = max(1, self._served.total(now_s)) / self._window_s
-        # Time to serve all refused callers at the present rate.
-        span_s = max(MIN_RETRY_AFTER_S, refused / served_per_s)
-        delay_s = max(MIN_RETRY_AFTER_S, wait_s or 0.0)
-        delay_s += self._random.random() * span_s
-        return min(delay_s, MAX_RETRY_AFTER_S * self._random.uniform(0.5, 1))
--- a/tests/admission/test_limits.py
+++ b/tests/admission/test_limits.py
@@ -8,7 +8,6 @@
 from azurewick.admission.customer_limit import CustomerLimiter
 from azurewick.admission.floor import AdmissionFloor
 from azurewick.admission.floor import FloorRound
-from azurewick.admission.retry_budget import RetryAfterSpreader
 from azurewick.admission.retry_budget import RetryBudget
 from azurewick.models import Customer
 
@@ -75,16 +74,6 @@
         self.assertEqual(20, granted)
         self.assertTrue(budget.try_retry(12.0))
 
-    def test_retry_after_spreads(self) -> None:
-        """Guards against refused callers that return together."""
-        spreader = RetryAfterSpreader(1)
-        for _ in range(50):
-            spreader.record_served(0.0)
-        delays = [spreader.retry_after_s(0.5, 1.0) for _ in range(500)]
-        late = sum(delay > 30 for delay in delays)
-        self.assertTrue(all(delay >= 1.0 for delay in delays))
-        self.assertGreater(late, 100)
-
     def test_batch_limit(self) -> None:
         """Guards against a batch that breaks the inter-token target."""
         cases = ((0.02, 0.0005, 0.079), (0.03, 0.002, 0.079))
