Split the retry budget again when instances are found; read them always

Cause, found by reading: a service's retry budget took its part of the shared allowance when the first request came, by the number of instances known then: 4 until the directory is read. 21 instances that start together could have repeated 21 times 15 requests of an allowance of 86 in 10 s. And an instance whose heartbeat the store refused didn't read the others' entries either, and split quotas and engines by 4 for as long.

The allowance now follows the number of instances, as a fraction, and the directory is read after a failed heartbeat too. Both tests fail before and pass after (60 passed).

--- a/azurewick/admission/retry_budget.py
+++ b/azurewick/admission/retry_budget.py
@@ -49,10 +49,10 @@
         *,
         window_s: float = RETRY_WINDOW_S,
         ratio: float = RETRY_RATIO,
-        allowance: int = RETRY_ALLOWANCE,
+        allowance: float = RETRY_ALLOWANCE,
     ) -> None:
+        self.allowance = allowance
         self._ratio = ratio
-        self._allowance = allowance
         self._requests = _WindowCount(window_s)
         self._retries = _WindowCount(window_s)
 
@@ -62,7 +62,7 @@
 
     def try_retry(self, now_s: float) -> bool:
         """Take one repeated offer from the budget if it has one."""
-        limit = self._allowance + self._ratio * self._requests.total(now_s)
+        limit = self.allowance + self._ratio * self._requests.total(now_s)
         if self._retries.total(now_s) + 1 > limit:
             return False
         self._retries.add(now_s)
--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -80,7 +80,7 @@
         self._watches = FleetWatches(store, kinds, self.state, random)
         self._peers = PeerView(settings.name)
         self._incarnation = random.getrandbits(48)
-        self._pools = ServicePools(
+        self.pools = ServicePools(
             settings=settings,
             state=self.state,
             client=self._client,
@@ -104,7 +104,7 @@
             settings.name,
             own,
             random,
-            self._set_peers,
+            self.set_peers,
         )
         self._limiter = limiter
         self.handler = EntryHandler(
@@ -113,14 +113,14 @@
                 (
                     RouteFilter(self.state),
                     DrainFilter(
-                        self._drain, self._pools.longest_run_s, monotonic_s
+                        self._drain, self.pools.longest_run_s, monotonic_s
                     ),
                     CustomerFilter(),
                     BodyFilter(),
                     QuotaFilter(limiter, monotonic_s),
                 )
             ),
-            pools=self._pools,
+            pools=self.pools,
             drain=self._drain,
             limiter=limiter,
             metrics=self.metrics,
@@ -194,12 +194,14 @@
         self.settings = settings
         self._drain.grace_s = settings.grace_s
         self._limiter.tolerance = _build_tolerance(settings)
-        self._pools.apply_settings(settings)
+        self.pools.apply_settings(settings)
         _LOGGER.info("settings reloaded", extra={"instance": settings.name})
 
-    def _set_peers(self, peers: Mapping[str, PeerInstance]) -> None:
+    def set_peers(self, peers: Mapping[str, PeerInstance]) -> None:
+        """Take the other live instances by name."""
         self._peers.set_members(peers)
         self._gossip.set_peers(peers)
+        self.pools.share_budgets()
 
     def _build_report(self, sequence: int) -> PeerReport:
         configuration = self.state.configuration
@@ -250,7 +252,7 @@
                 report.quota_used,
                 now_s,
             )
-        self._pools.fill()
+        self.pools.fill()
 
     async def _async_ready(self, request: BaseRequest) -> StreamResponse:
         ready = self.state.is_ready and not self._drain.is_active
--- a/azurewick/entry/instances.py
+++ b/azurewick/entry/instances.py
@@ -125,9 +125,12 @@
         while True:
             try:
                 await self._async_publish()
-                await self._async_read()
             except AzurewickError as err:
                 _LOGGER.warning("heartbeat failed: %s", err)
+            try:
+                await self._async_read()
+            except AzurewickError as err:
+                _LOGGER.warning("can't read the other instances: %s", err)
             await asyncio.sleep(
                 HEARTBEAT_INTERVAL_S * self._random.uniform(0.8, 1.2)
             )
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -96,6 +96,11 @@
         for parts in self._parts.values():
             parts.retries = self._build_retries()
 
+    def share_budgets(self) -> None:
+        """Split the shared retry budgets by the number of instances now."""
+        for parts in self._parts.values():
+            parts.retries.allowance = self._retry_allowance()
+
     def longest_run_s(self, route: Route, request: CallerRequest) -> float:
         """Return how long a request may run at the slowest server."""
         slowdowns = [
@@ -116,11 +121,13 @@
         return RetryBudget(
             window_s=settings.retry_window_s,
             ratio=settings.retry_ratio * RETRY_SAFETY,
-            allowance=int(
-                settings.retry_allowance * RETRY_SAFETY / self._peers.count
-            ),
+            allowance=self._retry_allowance(),
         )
 
+    def _retry_allowance(self) -> float:
+        total = self._settings.retry_allowance * RETRY_SAFETY
+        return total / self._peers.count
+
     def _build(self, service: str) -> ExchangeParts:
         return ExchangeParts(
             client=self._client,
--- a/fakes/platform_store.py
+++ b/fakes/platform_store.py
@@ -16,14 +16,15 @@
 class FakePlatformStore:
     """Objects by kind and name with one revision counter and long polls.
 
-    is_down answers 503, is_silent doesn't answer at all, and lose_answers is
-    the number of next writes that are done and not answered. page_items
-    bounds the items of one answer.
+    is_down answers 503, refuses_writes does so for writes only, is_silent
+    doesn't answer at all, and lose_answers is the number of next writes that
+    are done and not answered. page_items bounds the items of one answer.
     """
 
     def __init__(self, page_items: int = PAGE_ITEMS) -> None:
         self.is_down = False
         self.is_silent = False
+        self.refuses_writes = False
         self.lose_answers = 0
         self.calls: list[str] = []
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
@@ -91,7 +92,7 @@
         self.calls.append(f"{request.method} {request.path_qs}")
         if self.is_silent:
             await asyncio.sleep(60)
-        if self.is_down:
+        if self.is_down or (self.refuses_writes and request.method != "GET"):
             raise web.HTTPServiceUnavailable
 
     async def _async_answer(
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -12,6 +12,7 @@
 from aiohttp import ClientTimeout
 
 from azurewick.entry.application import EntryInstance
+from azurewick.entry.instances import PeerInstance
 from azurewick.entry.settings import EntrySettings
 from azurewick.platform.application import build_entry
 from fakes.platform_store import FakePlatformStore
@@ -131,6 +132,21 @@
             'azurewick_entry_request_seconds_count{route="r-2"} 2', text
         )
 
+    async def test_retry_budget_is_split_again_when_instances_are_found(self):
+        instance = await self.async_start(
+            replies(answer()), retry_allowance=86.0
+        )
+        await self.async_send()
+        retries = instance.pools.parts_of("huvo11a").retries
+        instance.set_peers(
+            {
+                f"e{index}": PeerInstance(address="127.0.0.1:9", region="x")
+                for index in range(2, 22)
+            }
+        )
+        self.assertLessEqual(21 * retries.allowance, 86.0)
+        self.assertGreater(21 * retries.allowance, 0.5 * 86.0)
+
     async def test_refusals_name_their_cause(self):
         await self.async_start(replies(answer()))
         cases = (
--- a/tests/entry/test_instances.py
+++ b/tests/entry/test_instances.py
@@ -73,3 +73,25 @@
         status = fake.objects[KIND_INSTANCES]["e1"]["status"]
         self.assertEqual("127.0.0.1:1", status["address"])
         self.assertEqual("home", status["region"])
+
+    async def test_peers_are_found_while_writes_are_refused(self):
+        fake = FakePlatformStore()
+        store = PlatformStore(await fake.async_start())
+        self.addAsyncCleanup(fake.async_stop)
+        self.addAsyncCleanup(store.async_close)
+        fake.put(KIND_INSTANCES, "e2", {})
+        item = fake.objects[KIND_INSTANCES]["e2"]
+        item["status"] = {"beat": 1, "address": "127.0.0.1:2"}
+        fake.refuses_writes = True
+        found = asyncio.Event()
+        directory = InstanceDirectory(
+            store,
+            "e1",
+            PeerInstance(address="127.0.0.1:1", region="home"),
+            Random(1),
+            lambda peers: found.set() if "e2" in peers else None,
+        )
+        directory.start()
+        self.addAsyncCleanup(directory.async_stop)
+        async with asyncio.timeout(2):
+            await found.wait()
