Let several servers of a service misbehave at once in the soak

One server's fault rarely meets a second one at the request's next server; half of the service's other servers now share it.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -212,9 +212,16 @@
         noted.ended_s = monotonic()
 
     async def _async_misbehave(self) -> None:
-        backend = self._random.choice(list(self._fleet.backends.values()))
+        chosen = self._random.choice(list(self._fleet.backends.values()))
+        # Often all servers of a service: a repeat meets the next fault.
+        affected = [
+            one
+            for one in self._fleet.backends.values()
+            if one is chosen
+            or (one.service == chosen.service and self._random.random() < 0.5)
+        ]
         noted = self._note("misbehaviour")
-        backend.misbehaviour = self._random.choice(
+        misbehaviour = self._random.choice(
             (
                 Misbehaviour(error=0.5),
                 Misbehaviour(torn=0.3),
@@ -224,8 +231,11 @@
                 Misbehaviour(slowdown=8.0),
             )
         )
+        for backend in affected:
+            backend.misbehaviour = misbehaviour
         await asyncio.sleep(self._duration_s())
-        backend.misbehaviour = Misbehaviour()
+        for backend in affected:
+            backend.misbehaviour = Misbehaviour()
         noted.ended_s = monotonic()
 
     async def _async_drain_backend(self) -> None:
