Play planned work alone after the faults of a soak; end its processes

The soak now plays planned work alone for half of the time, and a cut request counts as the instance's unless its server broke off.

SIGTERM now ends a run as SIGINT does.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,9 @@
 from pathlib import Path
 from random import Random
 from random import SystemRandom
+from signal import default_int_handler
+from signal import signal
+from signal import SIGTERM
 from tempfile import mkdtemp
 from time import monotonic
 from typing import Annotated
@@ -111,6 +114,8 @@
     ] = False,
 ) -> None:
     """Disturb real entry instances and check their promises."""
+    # A run that is stopped ends its processes, too.
+    signal(SIGTERM, default_int_handler)
     logging.basicConfig(level="INFO" if verbose else "ERROR")
     first = SystemRandom().randrange(10**6) if seed is None else seed
     plays = (
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -141,8 +141,6 @@
             service=self.service,
             customer=headers.get("x-tenant", ""),
             started_s=monotonic(),
-            # Until the answer is out, a crash may still spoil it.
-            is_spoiled=True,
         )
         self._record(run)
         self._active += 1
@@ -152,6 +150,9 @@
                 await self._async_stream(run, last, reader, writer)
             else:
                 await self._async_plain(run, reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            run.is_spoiled = True
+            raise
         finally:
             self._active -= 1
             run.ended_s = monotonic()
@@ -172,7 +173,6 @@
             raise ConnectionResetError("the answer is torn")
         writer.write(body)
         await writer.drain()
-        run.is_spoiled = False
 
     def _write_failure(self, run: Run, writer: StreamWriter) -> bool:
         """Answer with a failure by chance; return whether it did."""
@@ -203,7 +203,6 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        run.is_spoiled = False
 
 
 def parse_head(head: bytes) -> tuple[str, dict[str, str]]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -241,11 +241,7 @@
             continue
         own = runs.get(call.request_id, [])
         if any(run.is_spoiled for run in own):
-            # Either the server broke off or the instance cut it. Only a run
-            # that the server ended well tells them apart.
-            own = [run for run in own if not run.is_spoiled]
-            if not own:
-                continue
+            continue
         held_s = call.ended_s - call.sent_s
         if own or held_s > LOSS_SLACK_S:
             yield f"lost beside planned work: {_describe(call)}"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Sequence
 from logging import getLogger
 from random import Random
 from signal import SIGCONT
@@ -13,11 +14,13 @@
 from signal import SIGSTOP
 from signal import SIGTERM
 from time import monotonic
+from typing import Any
 
 from soak.backend import Misbehaviour
 from soak.const import CONFIG_S
 from soak.const import DRAIN_S
 from soak.const import GRACE_S
+from soak.const import STABLE_WINDOW_S
 from soak.fleet import EntryProcess
 from soak.fleet import Fleet
 from soak.proxy import FaultProxy
@@ -26,7 +29,11 @@
 
 _LOGGER = getLogger(__name__)
 
+FaultKind = Callable[[], Coroutine[Any, Any, None]]
+
 MEAN_GAP_S = 0.9
+# Time with planned work alone against that with all faults.
+PLANNED_PART = 0.5
 SHORTEST_S = 0.3
 LONGEST_S = 3.0
 # The store removes a silent server after three heartbeats.
@@ -49,13 +56,18 @@
         self._random = Random(seed)
         # Grows while it is awaited, as series start further faults.
         self._tasks: list[asyncio.Task[None]] = []
-        self._kinds: tuple[Callable[[], Awaitable[None]], ...] = (
-            self._async_kill,
-            self._async_kill_many,
+        self._planned: tuple[FaultKind, ...] = (
             self._async_terminate,
             self._async_roll,
-            self._async_pause,
             self._async_reload,
+            self._async_drain_backend,
+            self._async_configure,
+            self._async_configure_often,
+        )
+        self._unplanned: tuple[FaultKind, ...] = (
+            self._async_kill,
+            self._async_kill_many,
+            self._async_pause,
             self._async_break_store,
             self._async_break_store_of_one,
             self._async_lose_writes,
@@ -65,20 +77,28 @@
             # Twice, as one server's fault alone rarely meets another one.
             self._async_misbehave,
             self._async_misbehave,
-            self._async_drain_backend,
             self._async_crash_backend,
-            self._async_configure,
-            self._async_configure_often,
         )
 
     async def async_run(self, duration_s: float) -> None:
+        """Play faults of all kinds, then planned work alone.
+
+        Planned work may cut off no request, which only shows while nothing
+        else disturbs the instances.
+        """
+        await self._async_play(self._planned + self._unplanned, duration_s)
+        await asyncio.sleep(STABLE_WINDOW_S)
+        await self._async_play(self._planned, PLANNED_PART * duration_s)
+
+    async def _async_play(
+        self, kinds: Sequence[FaultKind], duration_s: float
+    ) -> None:
         """Start faults for a time, then wait for the end of the last one."""
         ends_s = monotonic() + duration_s
         while monotonic() < ends_s:
-            kind = self._random.choice(self._kinds)
+            kind = self._random.choice(kinds)
             _LOGGER.info("fault %s", kind.__name__.removeprefix("_async_"))
-            task = asyncio.ensure_future(kind())
-            self._tasks.append(task)
+            self._tasks.append(asyncio.ensure_future(kind()))
             await asyncio.sleep(self._random.expovariate(1 / MEAN_GAP_S))
         for task in self._tasks:
             await task
--- a/soak/records.py
+++ b/soak/records.py
@@ -58,7 +58,8 @@
 class Run:
     """One run of a request at a backend server.
 
-    is_spoiled says that the server broke off, lost or spoiled the answer.
+    is_spoiled says that the server broke off or lost the answer. It is not
+    set when the other side closed the connection.
     """
 
     request_id: str
