--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Collection
 from collections.abc import Mapping
-from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
-from itertools import accumulate
-from math import floor
-from zlib import crc32
 
 from azurewick.entry.outcomes import OutcomeCount
+from azurewick.entry.slot_shares import SlotShares
 from azurewick.util.decaying_rate import DecayingRate
 
 # A peer that is silent for this long is taken to use its shares in full.
@@ -21,23 +17,11 @@
 # Part of everything that is split evenly, so that an instance whose callers
 # have just come isn't left with nothing.
 EVEN_PART = 0.25
-# Part of its share that each peer finds free when it needs it. An instance
-# that has borrowed more holds it until its requests end, and the engine
-# would get more requests than slots.
-KEPT_PART = 0.6
-# Requests beyond its slots that an engine may get when an instance takes its
-# share from one that has borrowed.
-OVERCOMMIT_SLOTS = 1
-# Instances that may borrow one free slot at the same time. All of them see
-# it until the borrower's next report, and would fill the engine's queue.
-BORROWERS_PER_SLOT = 2
 # Time after which others may borrow: about that between two reports.
 TURN_S = 0.2
 # Placements between two reports use the same shares for this long: the
 # demand changes over seconds.
 SHARES_VALID_S = 0.05
-# Sums of weights may miss a whole number by this.
-ROUNDING = 1e-9
 # Work a second that is added to each instance's demand, so that the first
 # few requests don't decide the shares.
 PRIOR_WORK = 0.5
@@ -54,11 +38,11 @@
 
     is_leaving says that it stops and uses nothing any more. in_flight
     counts its requests by backend server, and outcomes how those of the
-    last seconds ended there. quota_used is what it has taken
-    of each customer's quota since its start, which incarnation names, and
-    quota_levels what it believes to be left of each, which is filled in for
-    peers that have just started: they set wants_levels. work is the nominal
-    work a second that its callers ask for. A larger sequence is newer.
+    last seconds ended there. quota_used is what it has taken of each
+    customer's quota since its start, which incarnation names. quota_levels
+    is what it believes to be left of each, filled in while a peer that has
+    just started sets wants_levels. work is the nominal work a second that
+    its callers ask for. A larger sequence is newer.
     """
 
     name: str
@@ -79,89 +63,6 @@
     heard_s: float
 
 
-class SlotShares:
-    """Shares of all instances in the servers' slots at one time.
-
-    in_flight holds the requests of each instance by server, None for those
-    that are silent. What is listed for the own index isn't read. What all
-    servers have in common is computed once, as each placement asks for each
-    server.
-    """
-
-    def __init__(
-        self,
-        *,
-        weights: Sequence[float],
-        own_index: int,
-        in_flight: Sequence[Mapping[str, int] | None],
-        turn: int,
-    ) -> None:
-        self._own_index = own_index
-        self._in_flight = in_flight
-        self._turn = turn
-        self._count = len(weights)
-        # Sums of the weights before each index, and of all.
-        self._sums = [0.0, *accumulate(weights)]
-        self._largest = max(weights)
-        self._silent = [
-            index
-            for index, counts in enumerate(in_flight)
-            if counts is None and index != own_index
-        ]
-        self._used: Counter[str] = Counter()
-        for index, counts in enumerate(in_flight):
-            if counts is not None and index != own_index:
-                self._used.update(counts)
-
-    def available(self, total: int, backend: str, own_used: int = 0) -> int:
-        """Return how many of a backend server's slots are ours to use.
-
-        All that the others neither use nor may soon need, and at least our
-        own share. The shares of all instances add up to the total. The
-        server's name decides where the rounding starts, so that the
-        remainders spread.
-        """
-        start = crc32(backend.encode()) % self._count
-        in_flight = self._used[backend] + sum(
-            self._share(index, start, total) for index in self._silent
-        )
-        reserved = in_flight + self._kept(start, total, backend)
-        own = self._share(self._own_index, start, total)
-        own_free = min(own, max(0, total + OVERCOMMIT_SLOTS - in_flight))
-        free = total - reserved
-        if free > own_free and not self._may_borrow(free - own_used, backend):
-            return max(own_free, own_used)
-        return max(own_free, free)
-
-    def _share(self, index: int, start: int, total: int) -> int:
-        """Return an instance's share when the rounding begins at start."""
-        sums = self._sums
-        # Instances before start come after the last one.
-        offset = (sums[-1] if index < start else 0.0) - sums[start]
-        before = total * (sums[index] + offset) + ROUNDING
-        after = total * (sums[index + 1] + offset) + ROUNDING
-        return floor(after) - floor(before)
-
-    def _kept(self, start: int, total: int, backend: str) -> int:
-        """Return the slots that others don't use and may soon need."""
-        if floor(KEPT_PART * (total * self._largest + 1)) < 1:
-            # The shares of many instances are too small to keep a part.
-            return 0
-        kept = 0
-        for index, counts in enumerate(self._in_flight):
-            if counts is None or index == self._own_index:
-                continue
-            part = floor(KEPT_PART * self._share(index, start, total))
-            kept += max(0, part - counts.get(backend, 0))
-        return kept
-
-    def _may_borrow(self, free: int, backend: str) -> bool:
-        """Return whether this instance's turn allows it to borrow a slot."""
-        turn = f"{self._own_index}/{backend}/{self._turn}"
-        drawn = crc32(turn.encode()) / 2**32
-        return drawn * self._count < BORROWERS_PER_SLOT * free
-
-
 class PeerView:
     """Reports of the peers and this instance's shares.
 
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -22,7 +22,7 @@
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
 from azurewick.entry.peers import SILENT_AFTER_S
-from azurewick.entry.peers import SlotShares
+from azurewick.entry.slot_shares import SlotShares
 from azurewick.errors import AzurewickError
 from tests.entry.builders import build_demand
 from tests.entry.builders import build_entry
--- a/tests/entry/test_sharing.py
+++ b/tests/entry/test_sharing.py
@@ -25,7 +25,7 @@
 def play(load: Load, borrowers: int | None = None) -> list[Outcome]:
     if borrowers is None:
         return [SharingModel(load, seed).play() for seed in SEEDS]
-    with patch("azurewick.entry.peers.BORROWERS_PER_SLOT", borrowers):
+    with patch("azurewick.entry.slot_shares.BORROWERS_PER_SLOT", borrowers):
         return play(load)
 
 
