Give an instance that starts the levels of the quotas at once

Cause: since peer reports carry levels only while a peer asks for them, an instance that starts got them a round later, up to 0.66 s after its first report, and used the credit of a start for as long.

An instance reports to peers as soon as it finds them, and a settled peer replies with the levels.

--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -128,6 +128,7 @@
         self._transport: DatagramTransport | None = None
         self._task: Task[None] | None = None
         self._sequence = 0
+        self._rounds = 0
 
     async def async_start(self) -> None:
         """Open the port and start to send."""
@@ -142,13 +143,16 @@
         if self._task is not None:
             await async_cancel(self._task)
         if self._transport is not None:
-            self._sequence += 1
-            report = self._build_report(self._sequence)
-            self._send(replace(report, is_leaving=True))
+            self._send(replace(self._next_report(), is_leaving=True))
             self._transport.close()
 
     def set_peers(self, peers: Mapping[str, PeerInstance]) -> None:
-        """Take the other instances by name."""
+        """Take the other instances by name; report to new ones at once.
+
+        An instance that has just started gets the levels of the quotas in
+        their replies. Until then it splits what it gained while it was down.
+        """
+        added = peers.keys() - self._peers.keys()
         self._peers = {
             name: split_address(peer.address) for name, peer in peers.items()
         }
@@ -157,6 +161,10 @@
             for name, peer in peers.items()
             if peer.region != self._own.region
         )
+        if added and self._transport is not None:
+            data = encode_report(self._next_report())
+            for name in added:
+                self._transport.sendto(data, self._peers[name])
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Take a datagram of a known peer."""
@@ -166,18 +174,32 @@
             _LOGGER.warning("datagram from %s ignored: %s", addr[0], err)
             return
         known = self._peers.get(report.name)
-        if known is not None and known[0] == addr[0]:
-            self._on_report(report)
+        if known is None or known[0] != addr[0]:
+            return
+        self._on_report(report)
+        if report.wants_levels:
+            self._reply(known)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore that a peer's port is closed; the peer counts as silent."""
         _LOGGER.debug("datagram not delivered: %s", exc)
 
+    def _next_report(self) -> PeerReport:
+        self._sequence += 1
+        return self._build_report(self._sequence)
+
+    def _reply(self, address: tuple[str, int]) -> None:
+        """Send the levels of the quotas to a peer that has just started."""
+        report = self._next_report()
+        if report.quota_levels and self._transport is not None:
+            self._transport.sendto(encode_report(report), address)
+
     def _send(self, report: PeerReport) -> None:
         assert self._transport is not None
         data = encode_report(report)
+        self._rounds += 1
         skips_far = not report.is_leaving and (
-            report.sequence % FAR_REPORT_INTERVAL
+            self._rounds % FAR_REPORT_INTERVAL
         )
         for name, address in self._peers.items():
             if not (skips_far and name in self._far):
@@ -185,8 +207,7 @@
 
     async def _async_send(self) -> None:
         while True:
-            self._sequence += 1
-            self._send(self._build_report(self._sequence))
+            self._send(self._next_report())
             await asyncio.sleep(
                 min(
                     LONGEST_INTERVAL_S,
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from time import process_time
 from unittest import IsolatedAsyncioTestCase
 from unittest import TestCase
@@ -256,12 +257,63 @@
         await gossip.async_stop()
         await asyncio.sleep(0.05)
         self.assertTrue(far[-1].is_leaving)
-        sent = {report.sequence for report in near if not report.is_leaving}
+        sent = [report.sequence for report in near if not report.is_leaving]
+        self.assertGreater(len(sent), 3)
         self.assertEqual(
-            {number for number in sent if number % 2 == 0},
-            {report.sequence for report in far if not report.is_leaving},
+            sent[1::2],
+            [report.sequence for report in far if not report.is_leaving],
         )
 
+    async def test_levels_come_at_once_to_an_instance_that_starts(self):
+        """Guards against a second burst of a quota after a restart."""
+        loop = asyncio.get_running_loop()
+        taken = loop.create_future()
+        old_view = build_peers("old", "old", "new")
+
+        def build_old(sequence):
+            wanted = old_view.wants_levels(0.0)
+            levels = {"north": 7.0} if wanted else {}
+            return build_report("old", sequence, quota_levels=levels)
+
+        def take_new(report):
+            if report.quota_levels and not taken.done():
+                taken.set_result(report.quota_levels)
+
+        places = {
+            name: PeerInstance(
+                address=f"127.0.0.1:{free_udp_port()}", region=name
+            )
+            for name in ("old", "new")
+        }
+        old = PeerGossip(
+            places["old"],
+            build_old,
+            lambda report: old_view.take(report, 0.0),
+        )
+        new = PeerGossip(
+            places["new"],
+            lambda sequence: build_report("new", sequence, wants_levels=True),
+            take_new,
+        )
+        await old.async_start()
+        await new.async_start()
+        self.addAsyncCleanup(new.async_stop)
+        self.addAsyncCleanup(old.async_stop)
+        # Let the first rounds go out to nobody.
+        await asyncio.sleep(0.01)
+        old.set_peers({"new": places["new"]})
+        started_s = loop.time()
+        new.set_peers({"old": places["old"]})
+        async with asyncio.timeout(1.0):
+            self.assertEqual({"north": 7.0}, await taken)
+        self.assertLess(loop.time() - started_s, 0.5 * SHORTEST_INTERVAL_S)
+
+
+def free_udp_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
 
 async def async_receive(reports):
     """Return the transport of a port that adds what it receives."""
