Refuse requests after the last answer of a drain

Cause: a draining instance that has no running request closes its servers, and gives what still runs 0.2 s. Ruled out: the servers and the callers, who waited.

Once idle, the drain takes no further request and waits for those that came in between.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -165,7 +165,12 @@
         try:
             async with asyncio.timeout(drain.stops_s() - monotonic_s()):
                 await self.handler.async_wait_idle()
+                # Requests that come from now on are refused. Those that came
+                # in between still get their answers.
+                drain.close()
+                await self.handler.async_wait_idle()
         except TimeoutError:
+            drain.close()
             _LOGGER.warning(
                 "requests still run at the end of the drain",
                 extra={"active": self.handler.active},
--- a/azurewick/entry/drain.py
+++ b/azurewick/entry/drain.py
@@ -22,6 +22,7 @@
     def __init__(self, grace_s: float) -> None:
         self.grace_s = grace_s
         self._started_s: float | None = None
+        self._is_closed = False
 
     @property
     def is_active(self) -> bool:
@@ -32,6 +33,10 @@
         """Start to drain."""
         self._started_s = now_s
 
+    def close(self) -> None:
+        """Take no further requests; the servers close after the last one."""
+        self._is_closed = True
+
     def notice_ends_s(self) -> float:
         """Return when the balancer has stopped to send."""
         assert self._started_s is not None
@@ -50,6 +55,8 @@
         """
         if self._started_s is None:
             return True
+        if self._is_closed:
+            return False
         if now_s < self._started_s + SERVES_ALL_S:
             return True
         run_s = longest_run_s * RUN_MARGIN_FACTOR + RUN_MARGIN_S
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -237,6 +237,16 @@
         self.assertEqual("close", headers["Connection"])
         await drain
 
+    async def test_request_after_the_drain_is_refused_and_not_cut(self):
+        # The servers close 0.2 s later and cut what runs longer (soak 612).
+        await self.async_start(replies(answer()))
+        await self.instance.async_drain()
+        status, body, headers = await self.async_send()
+        self.assertEqual(503, status)
+        self.assertIn(b"draining", body)
+        self.assertEqual("close", headers["Connection"])
+        self.assertEqual([], self.servers[0].requests)
+
     async def test_broken_answer_breaks_the_callers_connection(self):
         large = answer(body=b"x" * 400_000, length=500_000)
         await self.async_start(replies(large))
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -25,6 +25,12 @@
         self.assertFalse(self.drain.takes(103.0, 4.0))
         self.assertFalse(self.drain.takes(106.5, 0.3))
 
+    def test_closed_drain_takes_nothing(self):
+        # A request that came while the servers closed was cut (soak 612).
+        self.drain.start(100.0)
+        self.drain.close()
+        self.assertFalse(self.drain.takes(100.1, 0.0))
+
     def test_process_ends_before_it_is_killed(self):
         self.drain.start(100.0)
         self.assertLess(self.drain.stops_s(), 100.0 + GRACE_S - 0.5)
