Ask for nothing in a reply to an instance that starts

Cause: a reply to an instance that starts is a report of the sender; when the sender had started just before as well, its reply asked for levels too, and the two answered each other without end for 3 s.

--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -192,8 +192,12 @@
         return self._build_report(self._sequence)
 
     def _reply(self, address: tuple[str, int]) -> None:
-        """Send the levels of the quotas to a peer that has just started."""
-        report = self._next_report()
+        """Send the levels of the quotas to a peer that has just started.
+
+        A reply asks for nothing: two instances that start together would
+        answer each other without end.
+        """
+        report = replace(self._next_report(), wants_levels=False)
         if report.quota_levels and self._transport is not None:
             self._transport.sendto(encode_report(report), address)
 
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 import socket
 from time import process_time
 from unittest import IsolatedAsyncioTestCase
@@ -308,6 +309,37 @@
             self.assertEqual({"north": 7.0}, await taken)
         self.assertLess(loop.time() - started_s, 0.5 * SHORTEST_INTERVAL_S)
 
+    async def test_instances_that_start_together_do_not_flood_each_other(self):
+        """Guards against replies to replies."""
+        received = []
+        places = {
+            name: PeerInstance(
+                address=f"127.0.0.1:{free_udp_port()}", region="home"
+            )
+            for name in ("e1", "e2")
+        }
+        for name, place in places.items():
+            gossip = PeerGossip(
+                place,
+                partial(
+                    build_report,
+                    name,
+                    wants_levels=True,
+                    quota_levels={"north": 7.0},
+                ),
+                received.append,
+            )
+            await gossip.async_start()
+            self.addAsyncCleanup(gossip.async_stop)
+            gossip.set_peers(
+                {one: other for one, other in places.items() if one != name}
+            )
+        rounds = 4
+        await asyncio.sleep(rounds * SHORTEST_INTERVAL_S)
+        # Each sends a report a round, one more at the start, and gets a reply
+        # to each.
+        self.assertLessEqual(len(received), 2 * 2 * (rounds + 2))
+
 
 def free_udp_port() -> int:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
