Let the tests of the cluster state listen on any free port

Cause: gateway_settings gave the control address 127.0.0.1:1, which test_store_outage_keeps_last_configuration binds. Shown by a run with the port taken by another process: the test fails in the same way, and passes without.

With port 0 the test passes while port 1 is taken; no assertion changed.

--- a/tests/membership/builders.py
+++ b/tests/membership/builders.py
@@ -66,7 +66,8 @@
         "region": "lima",
         "failure_domain": "lima-a",
         "address": "127.0.0.1:1",
-        "control_address": "127.0.0.1:1",
+        # Bound by the tests, several of which may run on one machine.
+        "control_address": "127.0.0.1:0",
         "store": {"url": "http://127.0.0.1:1"},
     }
     return GatewaySettings.model_validate(values | fields)
