Log crashes of backend servers with what their requests had in common

Change: when the connection of a request without a sound answer is lost, the instance connects to the server again. If that is refused, it logs 'backend server crashed' with the traits (prompt parts but the last one, hash of the content) of the requests it had there. Broken answers of a server that goes on (garbled or lost answers, resets) are ruled out by the probe.

No decision uses it yet.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -21,6 +21,7 @@
 
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backend_client import MAX_FIELD_BYTES
+from azurewick.entry.crash_watch import CrashWatch
 from azurewick.entry.drain import Drain
 from azurewick.entry.filters import BodyFilter
 from azurewick.entry.filters import CustomerFilter
@@ -84,12 +85,14 @@
         self._watches = FleetWatches(store, kinds, self.state, random)
         self._peers = PeerView(settings.name)
         self._incarnation = random.getrandbits(48)
+        self._crash_watch = CrashWatch(lambda crash: None, monotonic_s)
         self.pools = ServicePools(
             settings=settings,
             state=self.state,
             client=self._client,
             protocol=protocol,
             peers=self._peers,
+            crash_watch=self._crash_watch,
             clock=monotonic_s,
             random=random,
         )
@@ -197,6 +200,7 @@
         if self._dispatch_timer is not None:
             self._dispatch_timer.cancel()
         await self._store.async_close()
+        await self._crash_watch.async_stop()
         await self._client.async_stop()
         await self.metrics.async_stop()
         _LOGGER.info(
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -13,6 +13,7 @@
 from azurewick.admission.retry_budget import RetryBudget
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backends import Backend
+from azurewick.entry.crash_watch import CrashWatch
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendCall
@@ -26,6 +27,7 @@
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_queue import Rank
+from azurewick.entry.request_traits import request_traits
 from azurewick.entry.stall_watchdog import StalledError
 from azurewick.entry.stall_watchdog import StallWatchdog
 from azurewick.entry.trace import AttemptTrace
@@ -55,6 +57,9 @@
 # server can resume.
 FIRST_EVENT_TIMEOUT_S = 2.0
 EVENT_TIMEOUT_S = 1.5
+# An answer that goes on for this long after its first bytes doesn't crash its
+# server.
+SOUND_AFTER_S = 0.2
 OUTCOME_UNFINISHED = "unfinished"
 # Basis of the Retry-After of refused callers, before jitter and its limits.
 RETRY_AFTER_S = 1.0
@@ -82,6 +87,7 @@
     retry_budget: RetryBudget
     work_estimator: WorkEstimator
     request_ages: RequestAgeEstimator
+    crash_watch: CrashWatch
     tokens_per_event: Callable[[], int]
     clock: Callable[[], float]
 
@@ -107,6 +113,7 @@
         self._customer = customer
         self._rank = rank
         self._body = body
+        self._traits = request_traits(request, customer, body)
         self._tried: set[str] = set()
         self._runs = 0
         self._rejections = 0
@@ -219,6 +226,8 @@
                 await self._async_relay(backend, response, watchdog, now_s)
             attempt.outcome = str(response.status)
         except AzurewickError as err:
+            if response is None and err.outcome is Outcome.UNKNOWN:
+                self._record_lost_server(backend, attempt)
             self._fail_attempt(backend, err)
         except StalledError as err:
             self._fail_attempt(
@@ -229,6 +238,8 @@
                 cause=err,
             )
         except (ClientError, OSError, ValueError) as err:
+            if not isinstance(err, ValueError):
+                self._record_lost_server(backend, attempt)
             self._fail_attempt(
                 backend,
                 _backend_failed_error(
@@ -292,6 +303,19 @@
         self.trace.attempts[-1].outcome = error.code.value
         raise _AttemptFailedError(error) from cause
 
+    def _record_lost_server(
+        self, backend: Backend, attempt: AttemptTrace
+    ) -> None:
+        """Record that the connection to a server was lost.
+
+        A server crashes when it begins the answer that makes it crash.
+        """
+        if attempt.first_byte_s is not None:
+            age_s = self._parts.clock() - self._started_s
+            if age_s - attempt.first_byte_s >= SOUND_AFTER_S:
+                return
+        self._parts.crash_watch.record_lost(backend, self._traits)
+
     def _check_answer_head(self, backend: Backend, head: AnswerHead) -> None:
         """Raise AzurewickError unless the answer may be relayed."""
         if head.has_other_request_id:
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -15,6 +15,8 @@
 from azurewick.admission.retry_budget import RetryBudget
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backends import Backend
+from azurewick.entry.crash_watch import CrashWatch
+from azurewick.entry.crash_watch import ServerCrash
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.exchange import Exchange
 from azurewick.entry.exchange import ExchangeParts
@@ -273,6 +275,8 @@
     def __init__(self, servers: list[ScriptedServer], *, retries: int = 10):
         self.writer = RecordingWriter()
         self.backends: list[Backend] = []
+        self.crashes: list[ServerCrash] = []
+        self.crash_watch = CrashWatch(self.crashes.append, monotonic_s)
         self._servers = servers
         self._client = BackendClient(PlatformProtocol())
         self._retries = RetryBudget(ratio=0.0, allowance=retries)
@@ -283,6 +287,7 @@
             self.backends.append(await server.async_start())
 
     async def async_stop(self) -> None:
+        await self.crash_watch.async_stop()
         await self._client.async_stop()
         for server in self._servers:
             await server.async_stop()
@@ -301,6 +306,7 @@
             retry_budget=self._retries,
             work_estimator=WorkEstimator(),
             request_ages=RequestAgeEstimator(),
+            crash_watch=self.crash_watch,
             tokens_per_event=lambda: 6,
             clock=monotonic_s,
         )
