Refuse requests with what crashes servers, over all instances

Cause: no instance put crashes down to anything. Each new request with the part went to the next sound server, as it is no repeat of an earlier one, and each instance saw a fifth of the crashes. Class of fault: a decision that needs what all instances see together was made by none.

Change: the traits of requests (prompt parts but the last one, hash of the content) that were in flight without a sound answer at a crash are suspects. Each sound answer clears the traits of its request. After three crashes without one, five for a trait that was in sound answers before, a trait is convicted, and requests with it are refused (422, poison_request, not run) before the quota and again before they are sent. Suspicions, sound answers and convictions go with the reports between the instances; convictions are kept in the store for instances that start or are cut off. A later sound answer acquits.

Why it works: the first part of the route is in the requests of all crashes too, but sound answers on it come between any two of them.

Evidence: tests.entry.test_crashing_parts failed before (11 and 12 of 12 servers crashed) and passes. No answer 422 counts among the tries of proper requests.

Ruled out: convicting after crashes that come at once (a loss of power ends many servers; they count as one), and by the customer.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -21,9 +21,11 @@
 
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backend_client import MAX_FIELD_BYTES
-from azurewick.entry.crash_watch import CrashWatch
+from azurewick.entry.conviction_store import ConvictionStore
+from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.drain import Drain
 from azurewick.entry.filters import BodyFilter
+from azurewick.entry.filters import CrashFilter
 from azurewick.entry.filters import CustomerFilter
 from azurewick.entry.filters import DrainFilter
 from azurewick.entry.filters import QuotaFilter
@@ -54,6 +56,7 @@
 from azurewick.helpers.caller_server import CallerServer
 from azurewick.helpers.clock import monotonic_s
 from azurewick.helpers.filter_chain import FilterChain
+from azurewick.poison.culprits import Conviction
 from azurewick.store.protocols import StatusStore
 
 _LOGGER = getLogger(__name__)
@@ -85,14 +88,27 @@
         self._watches = FleetWatches(store, kinds, self.state, random)
         self._peers = PeerView(settings.name)
         self._incarnation = random.getrandbits(48)
-        self._crash_watch = CrashWatch(lambda crash: None, monotonic_s)
+        self._crash_guard = CrashGuard(monotonic_s)
+        self._convictions = ConvictionStore(
+            store,
+            random,
+            lambda trait: self._crash_guard.record_conviction(
+                Conviction(trait=trait, age_s=0.0), source="store"
+            ),
+        )
+        self._crash_guard.on_convicted.append(
+            self._convictions.record_convicted
+        )
+        self._crash_guard.on_acquitted.append(
+            self._convictions.record_acquitted
+        )
         self.pools = ServicePools(
             settings=settings,
             state=self.state,
             client=self._client,
             protocol=protocol,
             peers=self._peers,
-            crash_watch=self._crash_watch,
+            crash_guard=self._crash_guard,
             clock=monotonic_s,
             random=random,
         )
@@ -124,6 +140,7 @@
                     ),
                     CustomerFilter(),
                     BodyFilter(),
+                    CrashFilter(self._crash_guard),
                     QuotaFilter(limiter, monotonic_s),
                 )
             ),
@@ -144,6 +161,7 @@
         self._watches.start()
         await self._gossip.async_start()
         self._directory.start()
+        self._convictions.start()
         await self.metrics.async_start(settings.metrics_address)
         await self._async_listen(
             Server(self._async_ready, access_log=None), settings.ready_address
@@ -193,6 +211,7 @@
         """Close the HTTP servers and stop the background tasks."""
         await asyncio.gather(
             self._directory.async_stop(),
+            self._convictions.async_stop(),
             self._gossip.async_stop(),
             self._watches.async_stop(),
             *(runner.cleanup() for runner in self._runners),
@@ -200,7 +219,7 @@
         if self._dispatch_timer is not None:
             self._dispatch_timer.cancel()
         await self._store.async_close()
-        await self._crash_watch.async_stop()
+        await self._crash_guard.async_stop()
         await self._client.async_stop()
         await self.metrics.async_stop()
         _LOGGER.info(
@@ -240,6 +259,8 @@
             outcomes=self._recent_outcomes(now_s),
             speeds=self._recent_speeds(now_s),
             quota_used=self._limiter.used(),
+            suspicions=self._crash_guard.suspicions(),
+            convictions=self._crash_guard.convictions(),
             age_s=self._limiter.age_s(now_s),
             wants_levels=not self._limiter.is_settled(now_s),
             quota_levels=(
@@ -276,6 +297,7 @@
         previous = self._peers.record_report(report, now_s)
         if previous is None:
             return
+        self._crash_guard.record_peer(report.suspicions, report.convictions)
         configuration = self.state.configuration
         if configuration is not None:
             customers = configuration.customers
--- a/azurewick/entry/context.py
+++ b/azurewick/entry/context.py
@@ -17,7 +17,8 @@
 class EntryContext:
     """Caller's request and what the filters have determined about it.
 
-    quota_cost is the amount charged to the customer's quota.
+    quota_cost is the amount charged to the customer's quota. traits are what
+    requests that crash their servers may have in common.
     """
 
     http_request: BaseRequest
@@ -27,6 +28,7 @@
     customer: CustomerQuota | None = None
     body: bytes = b""
     quota_cost: float = 0.0
+    traits: tuple[str, ...] = ()
 
     @property
     def rank(self) -> Rank:
--- /dev/null
+++ b/azurewick/entry/crash_guard.py
@@ -0,0 +1,117 @@
+"""Refusal of requests that crash the servers that run them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+from logging import getLogger
+
+from azurewick.entry.backends import Backend
+from azurewick.entry.crash_watch import CrashWatch
+from azurewick.entry.crash_watch import ServerCrash
+from azurewick.errors import AzurewickError
+from azurewick.errors import ErrorCode
+from azurewick.errors import Step
+from azurewick.poison.culprits import Conviction
+from azurewick.poison.culprits import CulpritTracker
+from azurewick.poison.culprits import Suspicion
+
+_LOGGER = getLogger(__name__)
+
+# Suspicions are in the reports of an instance for this long after a change.
+# Some tens of reports are sent in this time, of which some may get lost.
+SUSPICION_REPORT_S = 4.0
+MAX_REPORTED_SUSPICIONS = 24
+MAX_REPORTED_CONVICTIONS = 16
+# Source of a conviction by a crash that this instance has seen.
+SOURCE_CRASH = "crash"
+
+
+class CrashGuard:
+    """Stops requests whose traits crash servers, over all instances.
+
+    Crashes and sound answers of this instance and of its peers decide. The
+    callbacks in on_convicted get the trait and whether a crash that this
+    instance has seen itself was decisive, those in on_acquitted the trait.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.on_convicted: list[Callable[[str, bool], None]] = []
+        self.on_acquitted: list[Callable[[str], None]] = []
+        self._clock = clock
+        self._tracker = CulpritTracker()
+        self._watch = CrashWatch(self._handle_crash, clock)
+
+    async def async_stop(self) -> None:
+        """Stop looking for crashes."""
+        await self._watch.async_stop()
+
+    def raise_if_culprit(self, traits: Iterable[str]) -> None:
+        """Raise AzurewickError with code poison_request for a culprit."""
+        culprit = self._tracker.find_culprit(traits, self._clock())
+        if culprit is not None:
+            raise AzurewickError(
+                ErrorCode.POISON_REQUEST,
+                f"requests with {culprit} crash the servers that run them",
+                step=Step.SELECT,
+            )
+
+    def record_lost(self, backend: Backend, traits: Iterable[str]) -> None:
+        """Record that a request lost its server before a sound answer."""
+        self._watch.record_lost(backend, traits)
+
+    def record_sound(self, traits: Iterable[str]) -> None:
+        """Record that a request doesn't crash its server."""
+        for trait in self._tracker.record_sound(traits, self._clock()):
+            _LOGGER.warning("crashes no longer put down to %s", trait)
+            for callback in self.on_acquitted:
+                callback(trait)
+
+    def suspicions(self) -> list[Suspicion]:
+        """Return the suspicions for the reports to the peers."""
+        return self._tracker.suspicions(
+            self._clock(),
+            max_age_s=SUSPICION_REPORT_S,
+            limit=MAX_REPORTED_SUSPICIONS,
+        )
+
+    def convictions(self) -> list[Conviction]:
+        """Return the latest convictions for the reports to the peers."""
+        known = self._tracker.convictions(self._clock())
+        return known[-MAX_REPORTED_CONVICTIONS:]
+
+    def record_peer(
+        self,
+        suspicions: Sequence[Suspicion],
+        convictions: Sequence[Conviction],
+    ) -> None:
+        """Add the suspicions and convictions of a peer."""
+        now_s = self._clock()
+        for conviction in convictions:
+            self.record_conviction(conviction, source="peer")
+        if suspicions:
+            self._report(
+                self._tracker.record_suspicions(suspicions, now_s), "peers"
+            )
+
+    def record_conviction(self, conviction: Conviction, source: str) -> None:
+        """Add a conviction that another instance has reached."""
+        if self._tracker.record_conviction(conviction, self._clock()):
+            self._report([conviction.trait], source)
+
+    def _handle_crash(self, crash: ServerCrash) -> None:
+        convicted = self._tracker.record_crash(
+            crash.server_run, crash.traits, self._clock()
+        )
+        self._report(convicted, SOURCE_CRASH)
+
+    def _report(self, convicted: Iterable[str], source: str) -> None:
+        for trait in convicted:
+            _LOGGER.warning(
+                "requests with %s are refused, they crash servers",
+                trait,
+                extra={"source": source},
+            )
+            for callback in self.on_convicted:
+                callback(trait, source == SOURCE_CRASH)
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -13,7 +13,7 @@
 from azurewick.admission.retry_budget import RetryBudget
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backends import Backend
-from azurewick.entry.crash_watch import CrashWatch
+from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendCall
@@ -27,7 +27,6 @@
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_queue import Rank
-from azurewick.entry.request_traits import request_traits
 from azurewick.entry.stall_watchdog import StalledError
 from azurewick.entry.stall_watchdog import StallWatchdog
 from azurewick.entry.trace import AttemptTrace
@@ -87,7 +86,7 @@
     retry_budget: RetryBudget
     work_estimator: WorkEstimator
     request_ages: RequestAgeEstimator
-    crash_watch: CrashWatch
+    crash_guard: CrashGuard
     tokens_per_event: Callable[[], int]
     clock: Callable[[], float]
 
@@ -104,6 +103,7 @@
         customer: str,
         rank: Rank,
         body: bytes,
+        traits: tuple[str, ...],
         writer: AnswerWriter,
     ) -> None:
         self.trace = ExchangeTrace()
@@ -113,9 +113,11 @@
         self._customer = customer
         self._rank = rank
         self._body = body
-        self._traits = request_traits(request, customer, body)
+        self._traits = traits
         self._tried: set[str] = set()
         self._runs = 0
+        # Whether a server has gone on after it had begun the answer.
+        self._is_sound = False
         self._rejections = 0
         self._started_s = request.received_s
         self._first_sent_s = request.received_s - parts.request_ages.age_s(
@@ -125,6 +127,7 @@
             writer,
             self.trace,
             is_resumable=route.is_resumable,
+            on_output=self._handle_output,
             last_event_id=request.last_event_id,
             started_s=request.received_s,
             clock=parts.clock,
@@ -165,6 +168,9 @@
         while True:
             backend = await self._async_acquire()
             try:
+                # Other instances may have found the cause of crashes while
+                # the request waited.
+                self._parts.crash_guard.raise_if_culprit(self._traits)
                 await self._async_attempt(backend)
                 return
             except _AttemptFailedError as err:
@@ -227,7 +233,7 @@
             attempt.outcome = str(response.status)
         except AzurewickError as err:
             if response is None and err.outcome is Outcome.UNKNOWN:
-                self._record_lost_server(backend, attempt)
+                self._record_lost_server(backend)
             self._fail_attempt(backend, err)
         except StalledError as err:
             self._fail_attempt(
@@ -239,7 +245,7 @@
             )
         except (ClientError, OSError, ValueError) as err:
             if not isinstance(err, ValueError):
-                self._record_lost_server(backend, attempt)
+                self._record_lost_server(backend)
             self._fail_attempt(
                 backend,
                 _backend_failed_error(
@@ -303,18 +309,31 @@
         self.trace.attempts[-1].outcome = error.code.value
         raise _AttemptFailedError(error) from cause
 
-    def _record_lost_server(
-        self, backend: Backend, attempt: AttemptTrace
-    ) -> None:
+    def _handle_output(self) -> None:
+        """Record that the server goes on after it has begun the answer."""
+        if not self._is_sound and not self._is_output_new():
+            self._record_sound()
+
+    def _record_sound(self) -> None:
+        self._is_sound = True
+        self._parts.crash_guard.record_sound(self._traits)
+
+    def _is_output_new(self) -> bool:
+        """Return whether the server has just begun the answer, or hasn't."""
+        first_byte_s = self.trace.attempts[-1].first_byte_s
+        if first_byte_s is None:
+            return True
+        age_s = self._parts.clock() - self._started_s
+        return age_s - first_byte_s < SOUND_AFTER_S
+
+    def _record_lost_server(self, backend: Backend) -> None:
         """Record that the connection to a server was lost.
 
         A server crashes when it begins the answer that makes it crash.
         """
-        if attempt.first_byte_s is not None:
-            age_s = self._parts.clock() - self._started_s
-            if age_s - attempt.first_byte_s >= SOUND_AFTER_S:
-                return
-        self._parts.crash_watch.record_lost(backend, self._traits)
+        if self._is_sound or not self._is_output_new():
+            return
+        self._parts.crash_guard.record_lost(backend, self._traits)
 
     def _check_answer_head(self, backend: Backend, head: AnswerHead) -> None:
         """Raise AzurewickError unless the answer may be relayed."""
@@ -376,6 +395,7 @@
         self, backend: Backend, head: AnswerHead, sent_s: float
     ) -> None:
         now_s = self._parts.clock()
+        self._record_sound()
         if head.status >= 500:
             _record_failure(backend, now_s)
             return
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -9,11 +9,13 @@
 from aiohttp.web import RequestPayloadError
 
 from azurewick.entry.context import EntryContext
+from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.drain import Drain
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import Route
 from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.quota import request_cost
+from azurewick.entry.request_traits import request_traits
 from azurewick.entry.state import FleetState
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -145,6 +147,24 @@
         context.body = b"".join(parts)
 
 
+class CrashFilter:
+    """Refuses requests that crash the servers that run them.
+
+    It comes before the quota: callers of sound requests share it with them.
+    """
+
+    def __init__(self, guard: CrashGuard) -> None:
+        self._guard = guard
+
+    async def async_apply(self, context: EntryContext) -> None:
+        """Set the traits; refuse a request that has a crashing one."""
+        customer = "" if context.customer is None else context.customer.name
+        context.traits = request_traits(
+            context.request, customer, context.body
+        )
+        self._guard.raise_if_culprit(context.traits)
+
+
 class QuotaFilter:
     """Charges requests to the quotas of their customers."""
 
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -28,6 +28,8 @@
 from azurewick.helpers.address import split_address
 from azurewick.helpers.tasks import async_cancel
 from azurewick.helpers.tasks import create_supervised_task
+from azurewick.poison.culprits import Conviction
+from azurewick.poison.culprits import Suspicion
 
 _LOGGER = getLogger(__name__)
 
@@ -53,6 +55,8 @@
 OUTCOME_UNIT = 0.1
 # Unit of the times in reports of speeds.
 SPEED_UNIT_S = 0.01
+# Unit of the ages of crashes and of sound answers.
+AGE_UNIT_S = 0.01
 # Limit of a report after decompression; enough for thousands of servers and
 # customers.
 MAX_REPORT_BYTES = 262_144
@@ -69,6 +73,8 @@
 KEY_SPEEDS = "d"
 KEY_QUOTA = "q"
 KEY_LEVELS = "t"
+KEY_SUSPICIONS = "c"
+KEY_CONVICTIONS = "v"
 
 
 def encode_report(report: PeerReport) -> bytes:
@@ -104,6 +110,19 @@
             ]
             for name, sample in report.speeds.items()
         }
+    if report.suspicions:
+        fields[KEY_SUSPICIONS] = [
+            _encode_suspicion(suspicion) for suspicion in report.suspicions
+        ]
+    if report.convictions:
+        fields[KEY_CONVICTIONS] = [
+            [
+                conviction.trait,
+                round(conviction.age_s / AGE_UNIT_S),
+                conviction.server_runs,
+            ]
+            for conviction in report.convictions
+        ]
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
 
 
@@ -127,6 +146,8 @@
             speeds=_read_speeds(body.get(KEY_SPEEDS, {})),
             quota_used=_read_counts(body[KEY_QUOTA]),
             quota_levels=_read_counts(body[KEY_LEVELS]),
+            suspicions=_read_suspicions(body.get(KEY_SUSPICIONS, [])),
+            convictions=_read_convictions(body.get(KEY_CONVICTIONS, [])),
         )
     except (
         AttributeError,
@@ -283,14 +304,53 @@
     return body
 
 
+def _encode_suspicion(suspicion: Suspicion) -> list[Any]:
+    sound_age_s = suspicion.sound_age_s
+    return [
+        suspicion.trait,
+        {
+            run: round(age_s / AGE_UNIT_S)
+            for run, age_s in suspicion.crash_ages_s.items()
+        },
+        None if sound_age_s is None else round(sound_age_s / AGE_UNIT_S),
+    ]
+
+
+def _read_suspicions(body: Any) -> tuple[Suspicion, ...]:
+    return tuple(
+        Suspicion(
+            trait=_as_text(trait),
+            crash_ages_s={
+                run: int(age) * AGE_UNIT_S for run, age in ages.items()
+            },
+            sound_age_s=None if sound is None else int(sound) * AGE_UNIT_S,
+        )
+        for trait, ages, sound in body
+    )
+
+
+def _read_convictions(body: Any) -> tuple[Conviction, ...]:
+    return tuple(
+        Conviction(
+            trait=_as_text(trait),
+            age_s=int(age) * AGE_UNIT_S,
+            server_runs=tuple(_as_text(run) for run in runs),
+        )
+        for trait, age, runs in body
+    )
+
+
 def _round_values(amounts: Mapping[str, float]) -> dict[str, int]:
     return {name: round(amount) for name, amount in amounts.items()}
 
 
 def _read_text(body: Any, key: str) -> str:
-    value = body[key]
+    return _as_text(body[key])
+
+
+def _as_text(value: Any) -> str:
     if not isinstance(value, str):
-        raise TypeError(f"field {key!r} is not a string")
+        raise TypeError(f"{value!r} is not a string")
     return value
 
 
--- a/azurewick/entry/handler.py
+++ b/azurewick/entry/handler.py
@@ -169,6 +169,7 @@
             customer="" if customer is None else customer.name,
             rank=context.rank,
             body=context.body,
+            traits=context.traits,
             writer=writer,
         )
 
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Collection
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.slot_shares import SlotShares
 from azurewick.entry.speeds import SpeedSample
+from azurewick.poison.culprits import Conviction
+from azurewick.poison.culprits import Suspicion
 from azurewick.util.decaying_rate import DecayingRate
 
 # A peer without reports for this long counts as silent and is assumed to use
@@ -53,7 +56,8 @@
     outcomes; they are None in the others.
     quota_used is what it has used of each customer's quota since its start,
     and quota_levels what it counts as left of each. The levels are filled in
-    only while a peer that has just started sets wants_levels.
+    only while a peer that has just started sets wants_levels. suspicions and
+    convictions are about requests that crash servers.
     """
 
     name: str
@@ -68,6 +72,8 @@
     speeds: Mapping[str, SpeedSample] = field(default_factory=dict)
     quota_used: Mapping[str, float] = field(default_factory=dict)
     quota_levels: Mapping[str, float] = field(default_factory=dict)
+    suspicions: Sequence[Suspicion] = ()
+    convictions: Sequence[Conviction] = ()
 
 
 @dataclass(slots=True)
--- a/azurewick/entry/relay.py
+++ b/azurewick/entry/relay.py
@@ -46,7 +46,8 @@
 class AnswerRelay:
     """Passes the answers of all attempts of a request on to its caller.
 
-    is_started is set once the head of an answer has been sent.
+    is_started is set once the head of an answer has been sent. on_output is
+    called with each part of a body.
     last_event_id is the id of the last event sent.
     """
 
@@ -56,6 +57,7 @@
         trace: ExchangeTrace,
         *,
         is_resumable: bool,
+        on_output: Callable[[], None],
         last_event_id: str | None,
         started_s: float,
         clock: Callable[[], float],
@@ -65,6 +67,7 @@
         self._writer = writer
         self._trace = trace
         self._is_resumable = is_resumable
+        self._on_output = on_output
         self._started_s = started_s
         self._clock = clock
 
@@ -161,6 +164,7 @@
         attempt = self._trace.attempts[-1]
         if attempt.first_byte_s is None:
             attempt.first_byte_s = self._clock() - self._started_s
+        self._on_output()
         self._trace.bytes_sent += len(data)
         with watchdog.paused():
             await self._writer.async_write(data)
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -9,7 +9,7 @@
 from azurewick.admission.retry_budget import RetryBudget
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backends import Backend
-from azurewick.entry.crash_watch import CrashWatch
+from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.exchange import ExchangeParts
 from azurewick.entry.models import CallerRequest
@@ -42,7 +42,7 @@
         client: BackendClient,
         protocol: WireProtocol,
         peers: PeerView,
-        crash_watch: CrashWatch,
+        crash_guard: CrashGuard,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
@@ -62,7 +62,7 @@
             peers=peers,
         )
         self._peers = peers
-        self._crash_watch = crash_watch
+        self._crash_guard = crash_guard
         state.on_change.append(self.dispatch_waiting)
 
     def exchange_parts(self, service: str) -> ExchangeParts:
@@ -144,7 +144,7 @@
             retry_budget=self._build_retry_budget(),
             work_estimator=self._work_estimator,
             request_ages=self._request_ages,
-            crash_watch=self._crash_watch,
+            crash_guard=self._crash_guard,
             tokens_per_event=partial(self._tokens_per_event, service),
             clock=self._clock,
         )
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -15,8 +15,7 @@
 from azurewick.admission.retry_budget import RetryBudget
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backends import Backend
-from azurewick.entry.crash_watch import CrashWatch
-from azurewick.entry.crash_watch import ServerCrash
+from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.exchange import Exchange
 from azurewick.entry.exchange import ExchangeParts
@@ -31,6 +30,7 @@
 from azurewick.entry.placement import LeastLoadPlacement
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
+from azurewick.entry.request_traits import request_traits
 from azurewick.entry.work import WorkEstimate
 from azurewick.entry.work import WorkEstimator
 from azurewick.helpers.clock import monotonic_s
@@ -278,8 +278,7 @@
     def __init__(self, servers: list[ScriptedServer], *, retries: int = 10):
         self.writer = RecordingWriter()
         self.backends: list[Backend] = []
-        self.crashes: list[ServerCrash] = []
-        self.crash_watch = CrashWatch(self.crashes.append, monotonic_s)
+        self.crash_guard = CrashGuard(monotonic_s)
         self._servers = servers
         self._client = BackendClient(PlatformProtocol())
         self._retries = RetryBudget(ratio=0.0, allowance=retries)
@@ -290,7 +289,7 @@
             self.backends.append(await server.async_start())
 
     async def async_stop(self) -> None:
-        await self.crash_watch.async_stop()
+        await self.crash_guard.async_stop()
         await self._client.async_stop()
         for server in self._servers:
             await server.async_stop()
@@ -309,17 +308,19 @@
             retry_budget=self._retries,
             work_estimator=WorkEstimator(),
             request_ages=RequestAgeEstimator(),
-            crash_watch=self.crash_watch,
+            crash_guard=self.crash_guard,
             tokens_per_event=lambda: 6,
             clock=monotonic_s,
         )
+        request = build_request(received_s=monotonic_s(), **changes)
         return Exchange(
             parts,
-            build_request(received_s=monotonic_s(), **changes),
+            request,
             route,
             customer="north",
             rank=(0, 0),
             body=b"{}",
+            traits=request_traits(request, "north", b"{}"),
             writer=self.writer,
         )
 
--- a/tests/entry/test_crash_watch.py
+++ b/tests/entry/test_crash_watch.py
@@ -92,10 +92,10 @@
             await self.server.async_stop()
 
         await self.async_run(async_crash)
-        (crash,) = self.harness.crashes
-        self.assertIn("part:p1", crash.traits)
-        self.assertNotIn("part:own", crash.traits)
+        traits = {item.trait for item in self.harness.crash_guard.suspicions()}
+        self.assertIn("part:p1", traits)
+        self.assertNotIn("part:own", traits)
 
     async def test_broken_answer_of_a_running_server_is_no_crash(self):
         await self.async_run(replies(answer(length=50)))
-        self.assertEqual([], self.harness.crashes)
+        self.assertEqual([], self.harness.crash_guard.suspicions())
--- a/tests/entry/test_crashing_parts.py
+++ b/tests/entry/test_crashing_parts.py
@@ -1,4 +1,4 @@
-"""Tests of several entry instances under a prompt part that crashes servers."""
+"""Tests of entry instances under a prompt part that crashes servers."""
 
 from __future__ import annotations
 
