Judge version moves over all entry instances

What callers saw: nothing was judged and nothing completed.

Cause: the entry read the orders and kept the new version out; no part of it sent it requests, judged or wrote a status.

Change: a share of the requests tries the new version. Each instance counts answers, failures and times of both versions by route and tells the others; all judge the sum (azurewick/rollout/canary.py) and pass a rejection on. The status is written under the condition that the order hasn't changed, by the instances in turn. Whatever the verdict, each instance stays within its part of the allowed exposure until the completion, which comes 2 s before the time is over; requests that would still run then, and can't be resumed, go to the new version before. A crash counts once.

The instances also eject a server whose crash a peer has found: a request met up to three servers that only others knew to be gone, and failed.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -24,6 +24,7 @@
 from azurewick.entry.conviction_store import ConvictionStore
 from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.drain import Drain
+from azurewick.entry.exchange import record_failure
 from azurewick.entry.filters import BodyFilter
 from azurewick.entry.filters import CrashFilter
 from azurewick.entry.filters import CustomerFilter
@@ -36,6 +37,7 @@
 from azurewick.entry.instances import InstanceDirectory
 from azurewick.entry.instances import PeerInstance
 from azurewick.entry.metrics import EntryMetrics
+from azurewick.entry.move_writer import MoveWriter
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import CACHE_TTL_S
 from azurewick.entry.peers import PeerReport
@@ -50,6 +52,8 @@
 from azurewick.entry.speeds import SpeedSample
 from azurewick.entry.state import DocumentDecoder
 from azurewick.entry.state import FleetState
+from azurewick.entry.version_moves import ExposureLimits
+from azurewick.entry.version_moves import VersionMoves
 from azurewick.entry.watches import FleetWatches
 from azurewick.entry.watches import StoreKinds
 from azurewick.helpers.address import split_address
@@ -99,9 +103,21 @@
         self._crash_guard.on_convicted.append(
             self._convictions.record_convicted
         )
+        self._crash_guard.on_crash.append(self._eject_crashed)
         self._crash_guard.on_acquitted.append(
             self._convictions.record_acquitted
         )
+        self._moves = VersionMoves(
+            self.state,
+            _build_exposure_limits(settings),
+            lambda: self._peers.own_rank,
+            random,
+            monotonic_s(),
+        )
+        self.state.on_change.append(lambda: self._moves.update(monotonic_s()))
+        self._move_writer = MoveWriter(
+            store, kinds.moves, self._moves, monotonic_s
+        )
         self.pools = ServicePools(
             settings=settings,
             state=self.state,
@@ -109,6 +125,7 @@
             protocol=protocol,
             peers=self._peers,
             crash_guard=self._crash_guard,
+            moves=self._moves,
             clock=monotonic_s,
             random=random,
         )
@@ -162,6 +179,7 @@
         await self._gossip.async_start()
         self._directory.start()
         self._convictions.start()
+        self._move_writer.start()
         await self.metrics.async_start(settings.metrics_address)
         await self._async_listen(
             Server(self._async_ready, access_log=None), settings.ready_address
@@ -212,6 +230,7 @@
         await asyncio.gather(
             self._directory.async_stop(),
             self._convictions.async_stop(),
+            self._move_writer.async_stop(),
             self._gossip.async_stop(),
             self._watches.async_stop(),
             *(runner.cleanup() for runner in self._runners),
@@ -234,6 +253,7 @@
         self.settings = settings
         self._drain.grace_s = settings.grace_s
         self._limiter.tolerance = _build_tolerance(settings)
+        self._moves.limits = _build_exposure_limits(settings)
         self.pools.apply_settings(settings)
         _LOGGER.info("settings reloaded", extra={"instance": settings.name})
 
@@ -261,6 +281,7 @@
             quota_used=self._limiter.used(),
             suspicions=self._crash_guard.suspicions(),
             convictions=self._crash_guard.convictions(),
+            moves=self._moves.reports(now_s),
             age_s=self._limiter.age_s(now_s),
             wants_levels=not self._limiter.is_settled(now_s),
             quota_levels=(
@@ -292,12 +313,22 @@
             if sample.count >= OUTCOME_UNIT
         }
 
+    def _eject_crashed(self, server_run: str) -> None:
+        """Send nothing to a server that has crashed at another instance."""
+        now_s = monotonic_s()
+        for backend in self.state.registry:
+            if backend.entry.run_name == server_run:
+                record_failure(backend, now_s, is_unreachable=True)
+
     def _handle_report(self, report: PeerReport) -> None:
         now_s = monotonic_s()
         previous = self._peers.record_report(report, now_s)
         if previous is None:
             return
         self._crash_guard.record_peer(report.suspicions, report.convictions)
+        self._moves.record_peer(
+            report.name, report.incarnation, report.moves, now_s
+        )
         configuration = self.state.configuration
         if configuration is not None:
             customers = configuration.customers
@@ -348,6 +379,12 @@
     )
 
 
+def _build_exposure_limits(settings: EntrySettings) -> ExposureLimits:
+    return ExposureLimits(
+        share=settings.exposure_share, allowance=settings.exposure_allowance
+    )
+
+
 class EntryService(Service):
     """aiomisc service that runs an entry instance until SIGTERM."""
 
--- a/azurewick/entry/crash_guard.py
+++ b/azurewick/entry/crash_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -24,6 +25,10 @@
 SUSPICION_REPORT_S = 4.0
 MAX_REPORTED_SUSPICIONS = 24
 MAX_REPORTED_CONVICTIONS = 16
+# A crash that is older isn't news to the peers: the server may be back.
+CRASH_NEWS_S = 1.0
+# Crashed server runs that are remembered.
+MAX_CRASHES = 500
 # Source of a conviction by a crash that this instance has seen.
 SOURCE_CRASH = "crash"
 
@@ -33,13 +38,17 @@
 
     Crashes and sound answers of this instance and of its peers decide. The
     callbacks in on_convicted get the trait and whether a crash that this
-    instance has seen itself was decisive, those in on_acquitted the trait.
+    instance has seen itself was decisive, those in on_acquitted the trait,
+    and those in on_crash the run of a server that has crashed.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.on_convicted: list[Callable[[str, bool], None]] = []
         self.on_acquitted: list[Callable[[str], None]] = []
+        self.on_crash: list[Callable[[str], None]] = []
         self._clock = clock
+        # Runs of servers that have crashed, by the time of the news.
+        self._crashed_s: OrderedDict[str, float] = OrderedDict()
         self._tracker = CulpritTracker()
         self._watch = CrashWatch(self._handle_crash, clock)
 
@@ -90,6 +99,10 @@
         now_s = self._clock()
         for conviction in convictions:
             self.record_conviction(conviction, source="peer")
+        for suspicion in suspicions:
+            for server_run, age_s in suspicion.crash_ages_s.items():
+                if age_s < CRASH_NEWS_S:
+                    self._tell_crash(server_run, now_s)
         if suspicions:
             self._report(
                 self._tracker.record_suspicions(suspicions, now_s), "peers"
@@ -100,7 +113,18 @@
         if self._tracker.record_conviction(conviction, self._clock()):
             self._report([conviction.trait], source)
 
+    def _tell_crash(self, server_run: str, now_s: float) -> None:
+        """Call on_crash once for each crash."""
+        if server_run in self._crashed_s:
+            return
+        self._crashed_s[server_run] = now_s
+        if len(self._crashed_s) > MAX_CRASHES:
+            self._crashed_s.popitem(last=False)
+        for callback in self.on_crash:
+            callback(server_run)
+
     def _handle_crash(self, crash: ServerCrash) -> None:
+        self._tell_crash(crash.server_run, self._clock())
         convicted = self._tracker.record_crash(
             crash.server_run, crash.traits, self._clock()
         )
--- a/azurewick/entry/crash_watch.py
+++ b/azurewick/entry/crash_watch.py
@@ -11,7 +11,6 @@
 from logging import getLogger
 
 from azurewick.entry.backends import Backend
-from azurewick.entry.models import BackendEntry
 from azurewick.helpers.connect_probe import async_is_refused
 from azurewick.helpers.tasks import async_cancel
 
@@ -70,7 +69,7 @@
 
     def record_lost(self, backend: Backend, traits: Iterable[str]) -> None:
         """Record that a request without a sound answer lost its server."""
-        run = server_run(backend.entry)
+        run = backend.entry.run_name
         crashed_s = self._crashed_s.get(run)
         if (
             crashed_s is not None
@@ -115,8 +114,3 @@
             },
         )
         self._on_crash(ServerCrash(server_run=run, traits=frozenset(traits)))
-
-
-def server_run(entry: BackendEntry) -> str:
-    """Return the name of one run of a backend server."""
-    return f"{entry.name}/{entry.started_ms}"
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        candidates: Callable[[], Sequence[Backend]],
+        candidates: Callable[[Demand], Sequence[Backend]],
         placement: Placement,
         demand_rate: DecayingRate,
         clock: Callable[[], float],
@@ -72,7 +72,7 @@
             arrived_s=now_s,
         )
         budget_s = wait_budget_s(demand, now_s)
-        wait_s = self._predict_wait_s(waiter.urgency, now_s)
+        wait_s = self._predict_wait_s(waiter, now_s)
         self._arrival_rates.add(waiter.urgency, demand.work.total_s, now_s)
         self._demand_rate.add(demand.work.total_s, now_s)
         if wait_s > budget_s:
@@ -90,7 +90,7 @@
             self._release_unused(waiter)
             raise _overloaded_error(
                 f"no backend server became free within {budget_s:.3f} s",
-                self._predict_wait_s(waiter.urgency, self._clock()),
+                self._predict_wait_s(waiter, self._clock()),
             ) from err
         except BaseException:
             self._release_unused(waiter)
@@ -101,7 +101,9 @@
     def has_free_slot(self, demand: Demand) -> bool:
         """Return whether a server could take a request at once."""
         return (
-            self._placement.choose(self._candidates(), demand, self._clock())
+            self._placement.choose(
+                self._candidates(demand), demand, self._clock()
+            )
             is not None
         )
 
@@ -115,22 +117,31 @@
         if not len(self._queue):
             return
         now_s = self._clock()
-        candidates = self._candidates()
+        # Versions, by on_new_version, whose servers have no free slot.
+        full: set[bool] = set()
         for waiter in self._queue.in_order():
             if waiter.payload.done():
                 # Cancelled; its task removes it from the queue when it runs
                 # again.
                 continue
-            backend = self._placement.choose(candidates, waiter.demand, now_s)
+            demand = waiter.demand
+            if demand.on_new_version in full:
+                continue
+            backend = self._placement.choose(
+                self._candidates(demand), demand, now_s
+            )
             if backend is None:
-                if not waiter.demand.excluded:
-                    return
+                if not demand.excluded:
+                    full.add(demand.on_new_version)
                 continue
             backend.in_flight += 1
             self._queue.remove(waiter)
             waiter.payload.set_result(backend)
 
-    def _predict_wait_s(self, urgency: float, now_s: float) -> float:
+    def _predict_wait_s(
+        self, waiter: Waiter[Future[Backend]], now_s: float
+    ) -> float:
+        urgency = waiter.urgency
         work_ahead_s = self._queue.work_ahead_s(urgency)
         if not work_ahead_s:
             # Most requests find no work ahead of them; the capacity is
@@ -138,7 +149,7 @@
             return 0.0
         return predict_wait_s(
             work_ahead_s,
-            self._placement.capacity(self._candidates(), now_s),
+            self._placement.capacity(self._candidates(waiter.demand), now_s),
             self._arrival_rates.more_urgent_per_s(urgency, now_s),
         )
 
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -31,8 +31,10 @@
 from azurewick.entry.stall_watchdog import StallWatchdog
 from azurewick.entry.trace import AttemptTrace
 from azurewick.entry.trace import ExchangeTrace
+from azurewick.entry.version_moves import VersionMoves
 from azurewick.entry.work import measure_work
 from azurewick.entry.work import NOMINAL_PLAIN_S
+from azurewick.entry.work import WorkEstimate
 from azurewick.entry.work import WorkEstimator
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -80,6 +82,7 @@
 class ExchangeParts:
     """Dependencies shared by all exchanges of a service."""
 
+    service: str
     client: BackendClient
     protocol: WireProtocol
     dispatcher: Dispatcher
@@ -87,6 +90,7 @@
     work_estimator: WorkEstimator
     request_ages: RequestAgeEstimator
     crash_guard: CrashGuard
+    moves: VersionMoves
     tokens_per_event: Callable[[], int]
     clock: Callable[[], float]
 
@@ -115,6 +119,10 @@
         self._body = body
         self._traits = traits
         self._tried: set[str] = set()
+        self._work: WorkEstimate | None = None
+        self._tries_new_version = False
+        # Server of the current attempt.
+        self._backend: Backend | None = None
         self._runs = 0
         # Whether a server has gone on after it had begun the answer.
         self._is_sound = False
@@ -147,7 +155,11 @@
         """
         self._parts.retry_budget.record_request(self._parts.clock())
         loop = asyncio.get_running_loop()
-        left_s = self._deadline_at_s - self._parts.clock()
+        now_s = self._parts.clock()
+        left_s = self._deadline_at_s - now_s
+        self._tries_new_version = self._parts.moves.choose_new_version(
+            self._route, self._parts.service, self._estimate().total_s, now_s
+        )
         try:
             async with asyncio.timeout_at(loop.time() + max(0.0, left_s)):
                 await self._async_attempts()
@@ -192,20 +204,29 @@
     def _build_demand(self) -> Demand:
         return Demand(
             rank=self._rank,
-            work=self._parts.work_estimator.estimate(
-                self._route, self._request
-            ),
+            work=self._estimate(),
             target_s=self._first_sent_s + self._route.target_s,
             deadline_at_s=self._deadline_at_s - MIN_DISPATCH_S,
             is_caller_retry=self._first_sent_s < self._started_s,
             shared_part=find_shared_part(self._request),
             excluded=frozenset(self._tried),
+            on_new_version=self._tries_new_version and not self._tried,
         )
 
+    def _estimate(self) -> WorkEstimate:
+        """Return the expected work, which is estimated once a request."""
+        if self._work is None:
+            self._work = self._parts.work_estimator.estimate(
+                self._route, self._request
+            )
+        return self._work
+
     async def _async_attempt(self, backend: Backend) -> None:
         now_s = self._parts.clock()
         self._tried.add(backend.name)
         self._runs += 1
+        self._backend = backend
+        self._parts.moves.record_sent(self._route, backend)
         call = BackendCall(
             request=self._request,
             body=self._body,
@@ -234,7 +255,7 @@
         except AzurewickError as err:
             if response is None and err.outcome is Outcome.UNKNOWN:
                 self._record_lost_server(backend)
-            self._fail_attempt(backend, err)
+            self._fail_attempt(backend, err, is_lost=response is None)
         except StalledError as err:
             self._fail_attempt(
                 backend,
@@ -244,7 +265,8 @@
                 cause=err,
             )
         except (ClientError, OSError, ValueError) as err:
-            if not isinstance(err, ValueError):
+            is_lost = not isinstance(err, ValueError)
+            if is_lost:
                 self._record_lost_server(backend)
             self._fail_attempt(
                 backend,
@@ -252,11 +274,13 @@
                     backend, f"answer was interrupted: {err!r}"
                 ),
                 cause=err,
+                is_lost=is_lost,
             )
         except asyncio.CancelledError:
             if watchdog.idle_s() >= FIRST_EVENT_TIMEOUT_S:
                 # The deadline has passed or the caller has left.
-                _record_failure(backend, self._parts.clock())
+                record_failure(backend, self._parts.clock())
+                self._record_end(backend, failed=True)
             raise
         finally:
             if response is not None:
@@ -295,13 +319,19 @@
         backend: Backend,
         error: AzurewickError,
         cause: BaseException | None = None,
+        *,
+        is_lost: bool = False,
     ) -> None:
-        """Record a failed attempt and raise _AttemptFailedError."""
+        """Record a failed attempt and raise _AttemptFailedError.
+
+        is_lost is set when the connection to the server was lost.
+        """
         if error.outcome is Outcome.NOT_RUN:
             self._runs -= 1
             self._rejections += 1
         if error.code is not ErrorCode.OVERLOADED:
-            _record_failure(
+            self._record_end(backend, failed=True, is_lost=is_lost)
+            record_failure(
                 backend,
                 self._parts.clock(),
                 is_unreachable=error.code is ErrorCode.BACKEND_UNREACHABLE,
@@ -309,8 +339,35 @@
         self.trace.attempts[-1].outcome = error.code.value
         raise _AttemptFailedError(error) from cause
 
-    def _handle_output(self) -> None:
-        """Record that the server goes on after it has begun the answer."""
+    def _record_end(
+        self, backend: Backend, *, failed: bool, is_lost: bool = False
+    ) -> None:
+        """Record the end of an attempt for a move of the server's version."""
+        self._parts.moves.record_end(
+            self._route,
+            backend,
+            self._parts.clock(),
+            failed=failed,
+            lost_run=backend.entry.run_name if is_lost else None,
+        )
+
+    def _record_first_output(self, backend: Backend) -> None:
+        """Record the time to the first output, for a version move."""
+        attempt = self.trace.attempts[-1]
+        if not self._route.has_prompt or attempt.first_byte_s is None:
+            return
+        first_s = measure_work(self._request, 0).first_token_s
+        self._parts.moves.record_first(
+            self._route,
+            backend,
+            (attempt.first_byte_s - attempt.sent_s) / first_s,
+            self._parts.clock(),
+        )
+
+    def _handle_output(self, *, is_first: bool) -> None:
+        """Record what an output tells about the server and the request."""
+        if is_first and self._backend is not None:
+            self._record_first_output(self._backend)
         if not self._is_sound and not self._is_output_new():
             self._record_sound()
 
@@ -344,7 +401,7 @@
         if head.is_other_server:
             # Its address has been assigned anew. An instance that can't reach
             # the store still lists it, and it has no load.
-            _record_failure(backend, self._parts.clock(), is_unreachable=True)
+            record_failure(backend, self._parts.clock(), is_unreachable=True)
         if head.is_rejection:
             raise AzurewickError(
                 ErrorCode.OVERLOADED,
@@ -383,6 +440,9 @@
         now_s = self._parts.clock()
         work = measure_work(self._request, tokens)
         backend.record_slowdown(now_s - sent_s, work.total_s, now_s)
+        self._parts.moves.record_total(
+            self._route, backend, (now_s - sent_s) / work.total_s, now_s
+        )
         attempt = self.trace.attempts[-1]
         if attempt.first_byte_s is not None:
             backend.speeds.add_first(
@@ -396,12 +456,16 @@
     ) -> None:
         now_s = self._parts.clock()
         self._record_sound()
+        self._record_end(backend, failed=head.status >= 500)
         if head.status >= 500:
-            _record_failure(backend, now_s)
+            record_failure(backend, now_s)
             return
         backend.record_success(now_s)
         if not self._route.is_stream:
             backend.record_slowdown(now_s - sent_s, NOMINAL_PLAIN_S, now_s)
+            self._parts.moves.record_total(
+                self._route, backend, (now_s - sent_s) / NOMINAL_PLAIN_S, now_s
+            )
 
     def _first_output_timeout_s(self) -> float | None:
         """Return the timeout of the first event or of a plain answer."""
@@ -462,7 +526,7 @@
         )
 
 
-def _record_failure(
+def record_failure(
     backend: Backend, now_s: float, *, is_unreachable: bool = False
 ) -> None:
     """Record a failure; log it if it ejects the server."""
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -8,6 +8,8 @@
 from asyncio import Task
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import astuple
+from dataclasses import fields as dataclass_fields
 from dataclasses import replace
 from logging import getLogger
 from typing import Any
@@ -22,6 +24,7 @@
 from azurewick.entry.peers import LARGE_FLEET_INSTANCES
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.speeds import SpeedSample
+from azurewick.entry.version_moves import MoveReport
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
@@ -30,6 +33,8 @@
 from azurewick.helpers.tasks import create_supervised_task
 from azurewick.poison.culprits import Conviction
 from azurewick.poison.culprits import Suspicion
+from azurewick.rollout.canary import RouteEvidence
+from azurewick.rollout.canary import VersionCounts
 
 _LOGGER = getLogger(__name__)
 
@@ -75,6 +80,7 @@
 KEY_LEVELS = "t"
 KEY_SUSPICIONS = "c"
 KEY_CONVICTIONS = "v"
+KEY_MOVES = "m"
 
 
 def encode_report(report: PeerReport) -> bytes:
@@ -123,6 +129,8 @@
             ]
             for conviction in report.convictions
         ]
+    if report.moves:
+        fields[KEY_MOVES] = [_encode_move(move) for move in report.moves]
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
 
 
@@ -148,6 +156,7 @@
             quota_levels=_read_counts(body[KEY_LEVELS]),
             suspicions=_read_suspicions(body.get(KEY_SUSPICIONS, [])),
             convictions=_read_convictions(body.get(KEY_CONVICTIONS, [])),
+            moves=_read_moves(body.get(KEY_MOVES, [])),
         )
     except (
         AttributeError,
@@ -340,6 +349,49 @@
     )
 
 
+def _encode_move(move: MoveReport) -> list[Any]:
+    return [
+        move.service,
+        move.target_version,
+        round(move.age_s / AGE_UNIT_S),
+        move.is_rejected,
+        {
+            route: [_encode_counts(counts.old), _encode_counts(counts.new)]
+            for route, counts in move.evidence.items()
+        },
+    ]
+
+
+def _encode_counts(counts: VersionCounts) -> list[float]:
+    return [round(value, 2) for value in astuple(counts)]
+
+
+def _read_moves(body: Any) -> tuple[MoveReport, ...]:
+    return tuple(
+        MoveReport(
+            service=_as_text(service),
+            target_version=_as_text(target_version),
+            age_s=int(age) * AGE_UNIT_S,
+            is_rejected=is_rejected is True,
+            evidence={
+                route: RouteEvidence(
+                    old=VersionCounts(**_read_version_counts(old)),
+                    new=VersionCounts(**_read_version_counts(new)),
+                )
+                for route, (old, new) in evidence.items()
+            },
+        )
+        for service, target_version, age, is_rejected, evidence in body
+    )
+
+
+def _read_version_counts(body: Any) -> dict[str, float]:
+    names = [item.name for item in dataclass_fields(VersionCounts)]
+    return {
+        name: float(value) for name, value in zip(names, body, strict=True)
+    }
+
+
 def _round_values(amounts: Mapping[str, float]) -> dict[str, int]:
     return {name: round(amount) for name, amount in amounts.items()}
 
--- a/azurewick/entry/models.py
+++ b/azurewick/entry/models.py
@@ -139,6 +139,11 @@
     is_engine: bool = False
     started_ms: int = 0
 
+    @property
+    def run_name(self) -> str:
+        """Return the name of this run; a restarted server may keep its own."""
+        return f"{self.name}/{self.started_ms}"
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class VersionMove:
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -11,6 +11,7 @@
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.slot_shares import SlotShares
 from azurewick.entry.speeds import SpeedSample
+from azurewick.entry.version_moves import MoveReport
 from azurewick.poison.culprits import Conviction
 from azurewick.poison.culprits import Suspicion
 from azurewick.util.decaying_rate import DecayingRate
@@ -57,7 +58,8 @@
     quota_used is what it has used of each customer's quota since its start,
     and quota_levels what it counts as left of each. The levels are filled in
     only while a peer that has just started sets wants_levels. suspicions and
-    convictions are about requests that crash servers.
+    convictions are about requests that crash servers, moves about the version
+    moves in progress.
     """
 
     name: str
@@ -74,6 +76,7 @@
     quota_levels: Mapping[str, float] = field(default_factory=dict)
     suspicions: Sequence[Suspicion] = ()
     convictions: Sequence[Conviction] = ()
+    moves: Sequence[MoveReport] = ()
 
 
 @dataclass(slots=True)
@@ -115,6 +118,14 @@
         """Return the number of instances, this one included."""
         return len(self._members)
 
+    @property
+    def own_rank(self) -> tuple[int, int]:
+        """Return this instance's place among the live ones, and their number.
+
+        The place is the index in the order of the names.
+        """
+        return self._members.index(self._own_name), len(self._members)
+
     @property
     def is_large_fleet(self) -> bool:
         """Return whether reports are sent less often."""
--- a/azurewick/entry/relay.py
+++ b/azurewick/entry/relay.py
@@ -44,6 +44,13 @@
         """Send a part of the body."""
 
 
+class OutputCallback(Protocol):
+    """Called with each part of a body that is passed on."""
+
+    def __call__(self, *, is_first: bool) -> None:
+        """Handle a part; is_first is set for the first one of an attempt."""
+
+
 class AnswerRelay:
     """Passes the answers of all attempts of a request on to its caller.
 
@@ -58,7 +65,7 @@
         trace: ExchangeTrace,
         *,
         is_resumable: bool,
-        on_output: Callable[[], None],
+        on_output: OutputCallback,
         last_event_id: str | None,
         started_s: float,
         clock: Callable[[], float],
@@ -167,9 +174,10 @@
         if not data:
             return
         attempt = self._trace.attempts[-1]
-        if attempt.first_byte_s is None:
+        is_first = attempt.first_byte_s is None
+        if is_first:
             attempt.first_byte_s = self._clock() - self._started_s
-        self._on_output()
+        self._on_output(is_first=is_first)
         self._trace.bytes_sent += len(data)
         with watchdog.paused():
             await self._writer.async_write(data)
--- a/azurewick/entry/request_queue.py
+++ b/azurewick/entry/request_queue.py
@@ -33,7 +33,8 @@
     deadline, both on the monotonic clock. is_caller_retry is set for a retry
     by a caller that was refused before. shared_part is the part of its
     prompt that other requests have in common with it. excluded names servers
-    that must not get the request.
+    that must not get the request. on_new_version is set for a request that
+    tries the new version of its service.
     """
 
     rank: Rank
@@ -43,6 +44,7 @@
     is_caller_retry: bool = False
     shared_part: PromptPart | None = None
     excluded: frozenset[str] = field(default=frozenset())
+    on_new_version: bool = False
 
     def is_on_time(self, now_s: float) -> bool:
         """Return whether the target can still be met."""
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -13,14 +13,15 @@
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.exchange import ExchangeParts
 from azurewick.entry.models import CallerRequest
-from azurewick.entry.models import MoveState
 from azurewick.entry.models import Route
 from azurewick.entry.peers import PeerView
 from azurewick.entry.placement import LeastLoadPlacement
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.request_age import RequestAgeEstimator
+from azurewick.entry.request_queue import Demand
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.state import FleetState
+from azurewick.entry.version_moves import VersionMoves
 from azurewick.entry.work import WorkEstimator
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
@@ -43,6 +44,7 @@
         protocol: WireProtocol,
         peers: PeerView,
         crash_guard: CrashGuard,
+        moves: VersionMoves,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
@@ -63,6 +65,7 @@
         )
         self._peers = peers
         self._crash_guard = crash_guard
+        self._moves = moves
         state.on_change.append(self.dispatch_waiting)
 
     def exchange_parts(self, service: str) -> ExchangeParts:
@@ -109,7 +112,7 @@
         slowdowns = [
             backend.slowdown
             for service in route.services
-            for backend in self._candidates(service.name)
+            for backend in self._moves.serving(service.name)
         ]
         slowdown = max(slowdowns, default=1.0)
         return self._work_estimator.max_work_s(route, request) * slowdown
@@ -133,6 +136,7 @@
 
     def _build(self, service: str) -> ExchangeParts:
         return ExchangeParts(
+            service=service,
             client=self._client,
             protocol=self._protocol,
             dispatcher=Dispatcher(
@@ -145,6 +149,7 @@
             work_estimator=self._work_estimator,
             request_ages=self._request_ages,
             crash_guard=self._crash_guard,
+            moves=self._moves,
             tokens_per_event=partial(self._tokens_per_event, service),
             clock=self._clock,
         )
@@ -154,19 +159,7 @@
         known = configuration and configuration.services.get(service)
         return known.tokens_per_event if known else 1
 
-    def _candidates(self, service: str) -> list[Backend]:
-        servers = self._state.servers_of(service)
-        move = self._state.moves.get(service)
-        if move is None:
-            return servers
-        if move.state is MoveState.COMPLETE:
-            return [
-                server
-                for server in servers
-                if server.entry.version == move.target_version
-            ]
-        return [
-            server
-            for server in servers
-            if server.entry.version != move.target_version
-        ]
+    def _candidates(self, service: str, demand: Demand) -> list[Backend]:
+        return self._moves.serving(
+            service, on_new_version=demand.on_new_version
+        )
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -17,7 +17,9 @@
     the tolerance of quotas hold for all entry instances together: in each
     window, retries may reach retry_ratio of the requests and retry_allowance
     more, and usage may exceed a quota by the fraction quota_overage of it and
-    by quota_allowance tokens.
+    by quota_allowance tokens. A version that is being moved to may get the
+    fraction exposure_share of its service's requests since the order, and
+    exposure_allowance more.
     """
 
     name: str
@@ -37,3 +39,5 @@
     quota_window_s: float = 8.0
     quota_overage: float = 0.0
     quota_allowance: float = 0.0
+    exposure_share: float = 0.1
+    exposure_allowance: float = 50.0
--- a/azurewick/entry/watches.py
+++ b/azurewick/entry/watches.py
@@ -68,7 +68,7 @@
         self._random = random
         self._health = StoreHealth()
         # These must be up to date within seconds.
-        self._checked_watchers = (
+        self._watchers = (
             self._build_watcher(
                 kinds.configuration, state.update_configuration
             ),
@@ -78,9 +78,6 @@
                 on_reachability_change=self._set_servers_reachable,
                 early_end_pause_s=SERVERS_PAUSE_S,
             ),
-        )
-        self._watchers = (
-            *self._checked_watchers,
             self._build_watcher(kinds.moves, state.update_moves),
         )
         self._tasks: list[Task[None]] = []
@@ -143,7 +140,7 @@
             if not self._health.is_calm(monotonic_s()):
                 # Short watches show by themselves whether they get answers.
                 continue
-            for watcher in self._checked_watchers:
+            for watcher in self._watchers:
                 await self._async_check_watch(watcher)
 
     async def _async_check_watch(self, watcher: StoreWatcher) -> None:
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -64,6 +64,10 @@
     quota_window_s: DurationS = 8.0
     quota_overage: Amount = 0.0
     quota_slack: Amount = 0.0
+    # Share of a service's requests that a bad version may get, and the number
+    # that it may get in addition.
+    exposure_share: Amount = 0.1
+    exposure_slack: Amount = 50.0
 
 
 class StoreTable(Struct, frozen=True):
@@ -123,6 +127,8 @@
         quota_window_s=bounds.quota_window_s,
         quota_overage=bounds.quota_overage,
         quota_allowance=bounds.quota_slack,
+        exposure_share=bounds.exposure_share,
+        exposure_allowance=bounds.exposure_slack,
     )
 
 
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -31,9 +31,13 @@
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_traits import request_traits
+from azurewick.entry.state import FleetState
+from azurewick.entry.version_moves import ExposureLimits
+from azurewick.entry.version_moves import VersionMoves
 from azurewick.entry.work import WorkEstimate
 from azurewick.entry.work import WorkEstimator
 from azurewick.helpers.clock import monotonic_s
+from azurewick.platform.application import PlatformDocuments
 from azurewick.platform.requests import PlatformProtocol
 from azurewick.util.decaying_rate import DecayingRate
 
@@ -116,6 +120,16 @@
     )
 
 
+def build_moves(state: FleetState, **changes) -> VersionMoves:
+    fields = {
+        "limits": ExposureLimits(),
+        "instance_rank": lambda: (0, 1),
+        "random": Random(1),
+        "started_s": float("-inf"),
+    }
+    return VersionMoves(state, **{**fields, **changes})
+
+
 def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
     """Return a free port of the loopback address."""
     with socket.socket(socket.AF_INET, kind) as sock:
@@ -296,12 +310,14 @@
 
     def build(self, route: Route, **changes) -> Exchange:
         dispatcher = Dispatcher(
-            lambda: self.backends,
+            lambda demand: self.backends,
             _InOrderPlacement(),
             DecayingRate(1.0),
             monotonic_s,
         )
+        state = FleetState(PlatformDocuments(), monotonic_s)
         parts = ExchangeParts(
+            service="models",
             client=self._client,
             protocol=PlatformProtocol(),
             dispatcher=dispatcher,
@@ -309,6 +325,7 @@
             work_estimator=WorkEstimator(),
             request_ages=RequestAgeEstimator(),
             crash_guard=self.crash_guard,
+            moves=build_moves(state),
             tokens_per_event=lambda: 6,
             clock=monotonic_s,
         )
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -27,7 +27,7 @@
     async def asyncSetUp(self):
         self.backend = Backend(entry=build_entry(slots=1))
         self.dispatcher = Dispatcher(
-            lambda: [self.backend],
+            lambda demand: [self.backend],
             build_placement(build_peers("e1", "e1")),
             DecayingRate(1.0),
             monotonic_s,
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -390,3 +390,28 @@
 
         with self.assertRaises(BrokenAnswerError):
             await self.async_run(route, async_pause)
+
+
+class WorkEstimateTest(ExchangeCase):
+    """Guards against a request that counts several times in the estimates.
+
+    A stalled request looks for another server every 0.1 s.
+    """
+
+    async def test_work_is_estimated_once_a_request(self):
+        route = build_route(has_prompt=True, target_s=0.1, timeout_s=1.0)
+        estimates = []
+        self.harness = ExchangeHarness(
+            [ScriptedServer("s1", async_never_answer)], retries=10
+        )
+        await self.harness.async_start()
+        self.addAsyncCleanup(self.harness.async_stop)
+        exchange = self.harness.build(route)
+        estimator = exchange._parts.work_estimator
+        estimate = estimator.estimate
+        estimator.estimate = lambda *args: (
+            estimates.append(args) or estimate(*args)
+        )
+        with self.assertRaises(AzurewickError):
+            await exchange.async_run()
+        self.assertEqual(1, len(estimates))
