Pause after a failed write of a move's status

Calls to the store are billed, failed ones too: with the store down, each instance tried again every 0.1 s once a move was due. Now every 0.5 s.

--- a/azurewick/entry/move_writer.py
+++ b/azurewick/entry/move_writer.py
@@ -19,6 +19,8 @@
 _LOGGER = getLogger(__name__)
 
 CHECK_INTERVAL_S = 0.1
+# Pause after a failed write: calls to the store are billed, failed ones too.
+RETRY_PAUSE_S = 0.4
 ATTR_STATE = "state"
 ATTR_TARGET = "target"
 
@@ -83,6 +85,7 @@
             )
         except AzurewickError as err:
             _LOGGER.warning("can't write the status of a move: %s", err)
+            await asyncio.sleep(RETRY_PAUSE_S)
             return
         self._written[key] = state
         _LOGGER.info("version move %s", state.value, extra=dict(details))
