--- a/azurewick/cli/explain.py
+++ b/azurewick/cli/explain.py
@@ -42,6 +42,10 @@
         "it has not run: the instance had no configuration yet"
     ),
     ErrorCode.DRAINING: "it has not run: the instance was shutting down",
+    ErrorCode.POISON_REQUEST: (
+        "it has not run: requests with the same part or content have crashed"
+        " their servers"
+    ),
     ErrorCode.OUTCOME_UNKNOWN: (
         "it was dispatched and may have run: no answer came in time"
     ),
--- a/azurewick/entry/crash_guard.py
+++ b/azurewick/entry/crash_guard.py
@@ -130,12 +130,19 @@
         )
         self._report(convicted, SOURCE_CRASH)
 
-    def _report(self, convicted: Iterable[str], source: str) -> None:
+    def _report(self, convicted: Sequence[str], source: str) -> None:
+        """Log convictions with the crashes behind them; call back."""
+        if not convicted:
+            return
+        crashes = {
+            conviction.trait: conviction.server_runs
+            for conviction in self._tracker.convictions(self._clock())
+        }
         for trait in convicted:
             _LOGGER.warning(
                 "requests with %s are refused, they crash servers",
                 trait,
-                extra={"source": source},
+                extra={"source": source, "crashes": crashes.get(trait, ())},
             )
             for callback in self.on_convicted:
                 callback(trait, source == SOURCE_CRASH)
