Take the soak's ports outside the range of outgoing connections

Cause: the ports were taken from the kernel's range for outgoing connections and closed again, so that a connection, or the other soak, could take one before the instance had started.

Change: consecutive ports between 12,000 and 32,000, checked for TCP and UDP, drawn without the seed. The product isn't changed.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,6 +7,7 @@
 import os
 from pathlib import Path
 from random import Random
+from random import SystemRandom
 import signal
 import socket
 import subprocess
@@ -42,6 +43,8 @@
 
 RESTART_DELAY_S = 0.4
 START_TIMEOUT_S = 30.0
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
 # The load balancer stops using an instance after this many failed checks.
 MAX_MISSED_CHECKS = 2
 CHECK_INTERVAL_S = 1.0
@@ -354,24 +357,24 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Return free ports; the last two are consecutive."""
+    """Return consecutive free ports, for TCP and UDP.
+
+    They are below the range that the kernel gives to outgoing connections, so
+    that no such connection takes one before its process has started. The
+    draw doesn't depend on the seed: two soaks may run side by side.
+    """
     while True:
-        sockets = [socket.socket() for _ in range(count - 1)]
-        try:
-            for sock in sockets:
-                sock.bind((HOST, 0))
-            ports = [sock.getsockname()[1] for sock in sockets]
-        finally:
-            for sock in sockets:
-                sock.close()
-        if _is_free(ports[-1] + 1) and ports[-1] + 1 not in ports:
-            return [*ports, ports[-1] + 1]
+        first = SystemRandom().randrange(FIRST_PORT, LAST_PORT - count)
+        ports = list(range(first, first + count))
+        if all(_is_free(port) for port in ports):
+            return ports
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        try:
-            sock.bind((HOST, port))
-        except OSError:
-            return False
-        return True
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                return False
+    return True
