--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -42,10 +42,13 @@
         replicas: Sequence[Replica],
         *,
         memory_mb: int | None = None,
+        answer_attempts: int = 2,
     ) -> EntryProcess:
         """Start the store, the replicas and one entry instance in touch."""
         self.replicas = list(replicas)
-        self.store, address = await async_start_store(replicas)
+        self.store, address = await async_start_store(
+            replicas, answer_attempts
+        )
         entry = EntryProcess(
             "edge-pl-north-1",
             self._folder,
--- a/review/stand_ins/client.py
+++ b/review/stand_ins/client.py
@@ -90,6 +90,15 @@
             )
         self.requests = 0
 
+    async def async_wait_closed(self) -> None:
+        """Wait until the system closes the idle channel."""
+        assert self._reader is not None
+        try:
+            await self._reader.read(1)
+        except OSError as err:
+            self._record.write("idle channel failed", error=repr(err))
+        self.close()
+
     def close(self) -> None:
         """Close the channel."""
         if self._writer is not None:
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -19,28 +19,31 @@
 MAX_BODY_BYTES = 4_194_304
 
 
-async def async_start_store(replicas: Sequence[Replica]) -> tuple[
-    FakePlatformStore, str
-]:
+async def async_start_store(
+    replicas: Sequence[Replica], answer_attempts: int = 2
+) -> tuple[FakePlatformStore, str]:
     """Start the store with the first configuration and the replicas."""
     store = FakePlatformStore()
     address = await store.async_start()
     for replica in replicas:
         await replica.async_start()
         store.put("servers", replica.name, replica.entry())
-    store.put("config", "main", configuration(1))
+    store.put("config", "main", configuration(1, answer_attempts))
     return store, address
 
 
-def configuration(version: int) -> dict[str, object]:
-    """Return a configuration like that of the site ficelle-lagon."""
+def configuration(version: int, answer_attempts: int) -> dict[str, object]:
+    """Return a configuration like that of the site ficelle-lagon.
+
+    answer_attempts is the number of attempts on the route `answer`.
+    """
     return {
         "version": version,
         "routes": [
             _stream_route("draft", PATH_DRAFT, 600, 15_000, 0),
             {
                 **_stream_route("answer", PATH_ANSWER, 400, 12_000, 1),
-                "attempts": 2,
+                "attempts": answer_attempts,
                 "resumable": True,
             },
             _plain_route("book", PATH_BOOK, "non_idempotent", 1),
