--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Large answers to idempotent requests while replicas break some off."""
+"""Answers to idempotent requests while replicas garble some of them."""
 
 from __future__ import annotations
 
@@ -25,8 +25,12 @@
 ANSWER_BYTES = 600_000
 # Largest doses of `garble` in ficelle-lagon: share 0.6 of the replicas, and
 # x 0.03 of their answers.
-GARBLED_REPLICAS = 2
 GARBLED_SHARE = 0.03
+BREAKS_OFF = "breaks off"
+ENDLESS = "sends bytes without end"
+# What each of the replicas does to the share of its answers.
+GARBLES = (BREAKS_OFF, ENDLESS, "")
+ENDLESS_BLOCK = b"#" * 65_536
 DEADLINE_MS = 2000
 
 
@@ -37,13 +41,13 @@
 
 
 class LookupReplica(Replica):
-    """Replica with large answers, of which it breaks off a share."""
+    """Replica with large answers, of which it garbles a share."""
 
-    def __init__(self, case: Case, name: str, garbled_share: float) -> None:
+    def __init__(self, case: Case, name: str, garble: str) -> None:
         super().__init__(
             name, PLAIN_SERVICE, case.record, slots=6, is_engine=False
         )
-        self._garbled_share = garbled_share
+        self._garble = garble
         self._random = Random(name)
 
     async def async_run(
@@ -53,26 +57,37 @@
         reader: StreamReader,
         writer: StreamWriter,
     ) -> None:
-        """Answer with a body of ANSWER_BYTES, or break it off."""
+        """Answer with a body of ANSWER_BYTES, or garble it."""
         self.record_run(request_id)
         await async_work(PLAIN_WORK_S, reader)
         body = answer_of(request_id, self.name)
-        writer.write(
-            head("200 OK", request_id, body, f"Content-Length: {len(body)}")
-        )
-        if self._random.random() < self._garbled_share:
-            cut = self._random.randrange(len(body))
-            self._record.write(
-                "replica breaks off",
-                replica=self.name,
-                id=request_id,
-                after=cut,
+        if not self._garble or self._random.random() >= GARBLED_SHARE:
+            writer.write(
+                head(
+                    "200 OK", request_id, body, f"Content-Length: {len(body)}"
+                )
+                + body
             )
-            writer.write(body[:cut])
             await writer.drain()
+            return
+        self._record.write(
+            "replica garbles",
+            replica=self.name,
+            id=request_id,
+            how=self._garble,
+        )
+        if self._garble == ENDLESS:
+            writer.write(head("200 OK", request_id, body, "Connection: close"))
+            while not reader.at_eof():
+                writer.write(ENDLESS_BLOCK)
+                await writer.drain()
             raise ConnectionResetError
-        writer.write(body)
+        writer.write(
+            head("200 OK", request_id, body, f"Content-Length: {len(body)}")
+            + body[: self._random.randrange(len(body))]
+        )
         await writer.drain()
+        raise ConnectionResetError
 
 
 async def async_run_client(case: Case, port: int) -> int:
@@ -88,7 +103,7 @@
             if seal != answer.headers.get("x-response-seal"):
                 wrong += 1
                 case.record.write(
-                    "MIXED: complete 200 with a body of two replicas",
+                    "MIXED: complete 200 with a wrong body",
                     id=request_id,
                     bytes=len(answer.body),
                     seal_of_body=seal,
@@ -101,19 +116,15 @@
 
 
 def _replicas_in(body: bytes) -> str:
-    words = body.replace(b".", b"").split()
-    return ",".join(sorted({w.decode() for w in words if w[:2] == b"i-"}))
+    names = {word[:3] for word in body.split() if word.startswith(b"i-")}
+    return ",".join(sorted(name.decode() for name in names))
 
 
 async def async_check(case: Case) -> bool:
     """Return whether MIXED was broken."""
     replicas = [
-        LookupReplica(
-            case,
-            f"i-{number}",
-            GARBLED_SHARE if case.trouble and number < GARBLED_REPLICAS else 0,
-        )
-        for number in range(3)
+        LookupReplica(case, f"i-{number}", garble if case.trouble else "")
+        for number, garble in enumerate(GARBLES)
     ]
     entry = await case.async_start(replicas)
     wrong = await asyncio.gather(
--- a/review/stand_ins/http.py
+++ b/review/stand_ins/http.py
@@ -36,13 +36,15 @@
             await _async_read_chunks(reader, message)
             return message
         left = int(message.headers.get("content-length", "0"))
+        parts = bytearray()
         while left:
             data = await reader.read(min(left, 65_536))
             if not data:
                 raise IncompleteReadError(b"", left)
             left -= len(data)
             if keep_body:
-                message.body += data
+                parts += data
+        message.body = bytes(parts)
     except IncompleteReadError as err:
         where = "body" if message.line else "head"
         message.error = f"closed in the {where} ({len(err.partial)} bytes)"
@@ -52,12 +54,14 @@
 
 
 async def _async_read_chunks(reader: StreamReader, message: Message) -> None:
+    parts = bytearray()
     while True:
         size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
         data = await reader.readexactly(size + 2)
         if not size:
+            message.body = bytes(parts)
             return
-        message.body += data[:-2]
+        parts += data[:-2]
 
 
 def _parse_head(head: bytes) -> tuple[str, dict[str, str]]:
