--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,6 +7,7 @@
 from asyncio import StreamWriter
 from hashlib import blake2b
 from random import Random
+from time import monotonic
 
 from stand_ins.case import Case
 from stand_ins.case import run_case
@@ -19,17 +20,20 @@
 from stand_ins.replica import PLAIN_WORK_S
 from stand_ins.replica import Replica
 
-CLIENTS = 6
-REQUESTS_PER_CLIENT = 40
-PAUSE_S = 0.1
+# Lookups of all clients together: as many as the zone pl-north has requests.
+REQUESTS_PER_S = 39.5
+CLIENTS = 8
 ANSWER_BYTES = 600_000
-# Largest doses of `garble` in ficelle-lagon: share 0.6 of the replicas, and
-# x 0.03 of their answers.
-GARBLED_SHARE = 0.03
+# Dose of `garble` in ficelle-lagon: share 0.35 of the servers, here one of
+# three, and x 0.02 of their answers, for 5.5 s. It comes several times.
+GARBLED_REPLICA = "i-0"
+GARBLED_SHARE = 0.02
+GARBLED_FOR_S = 5.5
+PAUSE_S = 2.0
+TIMES = 5
+DEADLINE_MS = 2000
 BREAKS_OFF = "breaks off"
 ENDLESS = "sends bytes without end"
-# What each of the replicas does to the share of its answers.
-GARBLES = (BREAKS_OFF, ENDLESS, "")
 ENDLESS_BLOCK = b"#" * 65_536
 DEADLINE_MS = 2000
 
@@ -43,12 +47,12 @@
 class LookupReplica(Replica):
     """Replica with large answers, of which it garbles a share."""
 
-    def __init__(self, case: Case, name: str, garble: str) -> None:
+    def __init__(self, case: Case, name: str) -> None:
         super().__init__(
             name, PLAIN_SERVICE, case.record, slots=6, is_engine=False
         )
-        self._garble = garble
-        self._random = Random(name)
+        self.garbled_share = 0.0
+        self._random = Random()
 
     async def async_run(
         self,
@@ -61,7 +65,7 @@
         self.record_run(request_id)
         await async_work(PLAIN_WORK_S, reader)
         body = answer_of(request_id, self.name)
-        if not self._garble or self._random.random() >= GARBLED_SHARE:
+        if self._random.random() >= self.garbled_share:
             writer.write(
                 head(
                     "200 OK", request_id, body, f"Content-Length: {len(body)}"
@@ -70,13 +74,11 @@
             )
             await writer.drain()
             return
+        how = self._random.choice((BREAKS_OFF, ENDLESS))
         self._record.write(
-            "replica garbles",
-            replica=self.name,
-            id=request_id,
-            how=self._garble,
+            "replica garbles", replica=self.name, id=request_id, how=how
         )
-        if self._garble == ENDLESS:
+        if how == ENDLESS:
             writer.write(head("200 OK", request_id, body, "Connection: close"))
             while not reader.at_eof():
                 writer.write(ENDLESS_BLOCK)
@@ -90,11 +92,15 @@
         raise ConnectionResetError
 
 
-async def async_run_client(case: Case, port: int) -> int:
-    """Send requests; return how many successes had a wrong body."""
+async def async_run_client(
+    case: Case, port: int, until_s: float
+) -> tuple[int, int]:
+    """Send requests; return their number and that of the wrong bodies."""
     client = Client(port, case.record)
-    wrong = 0
-    for _ in range(REQUESTS_PER_CLIENT):
+    sent = wrong = 0
+    next_s = monotonic()
+    while next_s < until_s:
+        sent += 1
         request_id, answer = await client.async_send(
             "GET", f"{PATH_LOOK}stock", deadline_ms=DEADLINE_MS
         )
@@ -110,9 +116,10 @@
                     seal_of_answer=answer.headers.get("x-response-seal"),
                     replicas=_replicas_in(answer.body),
                 )
-        await asyncio.sleep(PAUSE_S)
+        next_s = max(next_s + CLIENTS / REQUESTS_PER_S, monotonic())
+        await asyncio.sleep(next_s - monotonic())
     client.close()
-    return wrong
+    return sent, wrong
 
 
 def _replicas_in(body: bytes) -> str:
@@ -122,16 +129,29 @@
 
 async def async_check(case: Case) -> bool:
     """Return whether MIXED was broken."""
-    replicas = [
-        LookupReplica(case, f"i-{number}", garble if case.trouble else "")
-        for number, garble in enumerate(GARBLES)
-    ]
+    replicas = [LookupReplica(case, f"i-{number}") for number in range(3)]
     entry = await case.async_start(replicas)
-    wrong = await asyncio.gather(
-        *(async_run_client(case, entry.front_port) for _ in range(CLIENTS))
-    )
-    case.record.write("result", wrong_bodies=sum(wrong))
-    return sum(wrong) > 0
+    until_s = monotonic() + TIMES * (GARBLED_FOR_S + PAUSE_S)
+    clients = [
+        asyncio.create_task(async_run_client(case, entry.front_port, until_s))
+        for _ in range(CLIENTS)
+    ]
+    for _ in range(TIMES):
+        if case.trouble:
+            _garble(replicas, GARBLED_SHARE)
+        await asyncio.sleep(GARBLED_FOR_S)
+        _garble(replicas, 0.0)
+        await asyncio.sleep(PAUSE_S)
+    counts = await asyncio.gather(*clients)
+    sent, wrong = (sum(column) for column in zip(*counts, strict=True))
+    case.record.write("result", requests=sent, wrong_bodies=wrong)
+    return wrong > 0
+
+
+def _garble(replicas: list[LookupReplica], share: float) -> None:
+    for replica in replicas:
+        if replica.name == GARBLED_REPLICA:
+            replica.garbled_share = share
 
 
 if __name__ == "__main__":
