--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -246,6 +246,7 @@
             shared_part=find_shared_part(self._request),
             excluded=frozenset(self._tried),
             on_new_version=self._tries_new_version and not self._tried,
+            customer=self._customer,
         )
 
     def _estimate(self) -> WorkEstimate:
--- a/azurewick/entry/models.py
+++ b/azurewick/entry/models.py
@@ -48,6 +48,8 @@
     target_s is the time to the first output, or to the answer of a plain
     service, within which a request has its full value. event_gap_s is the
     longest pause between two events of a stream. tier 0 is the highest.
+    home_regions are the only regions whose servers may get the requests; any
+    may if it is empty.
     """
 
     name: str
@@ -63,6 +65,7 @@
     is_public: bool = False
     is_resumable: bool = False
     has_prompt: bool = False
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def is_stream(self) -> bool:
@@ -88,11 +91,17 @@
     """Group of backend servers that serve the same requests.
 
     tokens_per_event is the number of output tokens in one event of a model
-    engine's stream.
+    engine's stream, and memory_tokens the capacity of one engine's KV cache, 0
+    if it isn't known. A server that has just started is cold for about cold_s
+    and then takes cold_per_s requests a second; the service has no cold
+    servers if that is 0.
     """
 
     name: str
     tokens_per_event: int = 1
+    memory_tokens: int = 0
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -102,6 +111,7 @@
     Rate and burst count tokens if counts_tokens is set, else requests. A
     rate of 0 means no quota. tier replaces the route's tier unless it is
     None. default_tokens is the cost of a request that states no token count.
+    home_regions bind the customer's requests as those of a route do.
     """
 
     name: str
@@ -110,6 +120,7 @@
     burst: float = 0.0
     counts_tokens: bool = False
     default_tokens: int = 0
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -141,7 +152,8 @@
     is set for a model engine, which runs them in a batch. started_ms is the
     time of its start in milliseconds since the epoch; it tells apart
     restarts of a server under the same name. revision is the store's
-    revision at the last change of the entry.
+    revision at the last change of the entry, and cold_left_s how much longer
+    the server was cold then.
     """
 
     name: str
@@ -153,8 +165,9 @@
     is_draining: bool = False
     is_engine: bool = False
     started_ms: int = 0
-    # Not compared: a change of the revision alone is no change of the server.
+    # Not compared: a change of these alone is no change of the server.
     revision: int = field(default=0, compare=False)
+    cold_left_s: float = field(default=0.0, compare=False)
 
     @property
     def run_name(self) -> str:
--- a/azurewick/entry/request_queue.py
+++ b/azurewick/entry/request_queue.py
@@ -34,7 +34,9 @@
     by a caller that was refused before. shared_part is the part of its
     prompt that other requests have in common with it. excluded names servers
     that must not get the request. on_new_version is set for a request that
-    tries the new version of its service.
+    tries the new version of its service. customer is the name of the caller's
+    customer, empty without one. Only servers in home_regions may get the
+    request, all may if it is None.
     """
 
     rank: Rank
@@ -45,6 +47,8 @@
     shared_part: PromptPart | None = None
     excluded: frozenset[str] = field(default=frozenset())
     on_new_version: bool = False
+    customer: str = ""
+    home_regions: frozenset[str] | None = None
 
     def is_on_time(self, now_s: float) -> bool:
         """Return whether the target can still be met."""
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -21,7 +21,10 @@
     more, and usage may exceed a quota by the fraction quota_overage of it and
     by quota_allowance tokens. A version that is being moved to may get the
     fraction exposure_share of its service's requests since the order, and
-    exposure_allowance more.
+    exposure_allowance more. In any second, all instances together may send a
+    cold server cold_overage times the rate that it takes, and cold_allowance
+    requests more. follows_evacuations is set where operators may order that
+    a failure domain's servers get no requests.
     """
 
     name: str
@@ -45,3 +48,6 @@
     quota_allowance: float = 0.0
     exposure_share: float = 0.1
     exposure_allowance: float = 50.0
+    cold_overage: float = 1.0
+    cold_allowance: float = 0.0
+    follows_evacuations: bool = False
--- a/azurewick/platform/documents.py
+++ b/azurewick/platform/documents.py
@@ -78,6 +78,7 @@
     # affinity.
     sticky: bool = False
     resumable: bool = False
+    home_regions: tuple[str, ...] = ()
 
 
 class EngineWire(Struct, frozen=True, kw_only=True):
@@ -99,6 +100,10 @@
     # together.
     max_conns: Count = 100
     engine: EngineWire | None = None
+    # How long a server is cold after its start, and the rate of requests that
+    # it takes then.
+    cold_s: Annotated[float, Meta(ge=0, le=MAX_DURATION_MS / 1000)] = 0.0
+    cold_per_s: Amount = 0.0
 
 
 class TenantWire(Struct, frozen=True, kw_only=True):
@@ -112,6 +117,7 @@
     default_tokens: Count = 0
     rate_per_s: Amount = 0.0
     burst: Amount = 0.0
+    home_regions: tuple[str, ...] = ()
 
 
 class LimitsWire(Struct, frozen=True, kw_only=True):
@@ -148,6 +154,8 @@
     phase: str | None = None
     # Start time of the server in milliseconds since the epoch.
     born: Count = 0
+    # How much longer the server was cold when the document was written.
+    cold_left_ms: DurationMs = 0.0
 
 
 class RolloutWire(Struct, frozen=True, kw_only=True):
@@ -208,6 +216,7 @@
         is_engine=wire.phase is not None,
         started_ms=wire.born,
         revision=item.version,
+        cold_left_s=wire.cold_left_ms / 1000,
     )
 
 
@@ -256,13 +265,18 @@
         is_public=wire.public,
         is_resumable=wire.resumable,
         has_prompt=wire.sticky,
+        home_regions=frozenset(wire.home_regions),
     )
 
 
 def _build_service(wire: ServiceWire) -> Service:
+    engine = wire.engine
     return Service(
         name=wire.name,
-        tokens_per_event=1 if wire.engine is None else wire.engine.stride,
+        tokens_per_event=1 if engine is None else engine.stride,
+        memory_tokens=0 if engine is None else engine.kv_capacity,
+        cold_s=wire.cold_s,
+        cold_per_s=wire.cold_per_s,
     )
 
 
@@ -274,6 +288,7 @@
         burst=wire.burst,
         counts_tokens=wire.unit == "token_count",
         default_tokens=wire.default_tokens,
+        home_regions=frozenset(wire.home_regions),
     )
 
 
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -76,6 +76,13 @@
     # that it may get in addition.
     exposure_share: Amount = 0.1
     exposure_slack: Amount = 50.0
+    # A cold server may get cold_overage times the rate that it takes, plus
+    # cold_slack requests, in each second.
+    cold_overage: Amount = 1.0
+    cold_slack: Amount = 0.0
+    # Time after which the servers of an evacuated failure domain get no more
+    # requests. Missing where there are no evacuations.
+    evacuate_ms: Amount | None = None
 
 
 class StoreTable(Struct, frozen=True):
@@ -141,6 +148,9 @@
         quota_allowance=bounds.quota_slack,
         exposure_share=bounds.exposure_share,
         exposure_allowance=bounds.exposure_slack,
+        cold_overage=bounds.cold_overage,
+        cold_allowance=bounds.cold_slack,
+        follows_evacuations=bounds.evacuate_ms is not None,
     )
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -40,6 +40,33 @@
         self.assertTrue(route.is_resumable)
         self.assertTrue(route.has_prompt)
 
+    def test_home_regions_and_cold_servers(self):
+        """Routes and servers without the fields aren't restricted."""
+        plain = self.configuration.services["huvo11a"]
+        self.assertEqual((0.0, 0.0), (plain.cold_s, plain.cold_per_s))
+        self.assertEqual(537_912, plain.memory_tokens)
+        self.assertEqual(
+            frozenset(), self.configuration.customers["hule930"].home_regions
+        )
+        spec = {
+            **CONFIGURATION,
+            "routes": [{**ROUTE, "home_regions": ["home", "away"]}],
+            "services": [
+                {"name": "huvo11a", "cold_s": 3.0, "cold_per_s": 15.0}
+            ],
+            "tenants": [{"name": "hule930", "home_regions": ["home"]}],
+        }
+        configuration = decode_configuration(build_object(spec))
+        route = configuration.routes.find("ficu95.example", "/pufi791/x")
+        self.assertEqual({"home", "away"}, route.home_regions)
+        self.assertEqual(
+            {"home"}, configuration.customers["hule930"].home_regions
+        )
+        cold = configuration.services["huvo11a"]
+        self.assertEqual((3.0, 15.0), (cold.cold_s, cold.cold_per_s))
+        server = decode_server(build_object({**SERVER, "cold_left_ms": 1500}))
+        self.assertEqual(1.5, server.cold_left_s)
+
     def test_split_route_has_weights_and_no_timeout(self):
         route = self.configuration.routes.find("ficu95.example", "/lohu930/x")
         self.assertEqual([90, 10], [one.weight for one in route.services])
