Let begun streams wait for a slot before new requests

A stream whose server crashed or stalled goes on at another server. The rest of a begun stream now goes before new requests of its tier, isn't refused by a prediction and waits for 2 s at most. The new test fails without the change.

--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -26,6 +26,9 @@
 # abandon a stream that sends nothing for 2 s.
 MAX_LATE_WAIT_S = 1.5
 LATE_WAIT_SHARE = 0.25
+# Limit on the wait of the rest of a stream that has begun: callers abandon it
+# after a gap of 2 s.
+MAX_RESUME_WAIT_S = 2.0
 # Lower bound of the predicted wait on which Retry-After is based.
 MIN_REPORTED_WAIT_S = 0.2
 
@@ -62,7 +65,8 @@
         Raises AzurewickError with code overloaded: at once when the
         predicted wait, or the time until a server wants requests again,
         exceeds the time that the request may wait, otherwise when that time
-        has passed without a free slot.
+        has passed without a free slot. The rest of a stream that has begun
+        isn't refused by a prediction.
         """
         now_s = self._clock()
         loop = get_running_loop()
@@ -76,7 +80,7 @@
         wait_s = self._predict_wait_s(waiter, now_s)
         self._arrival_rates.add(waiter.urgency, demand.work.total_s, now_s)
         self._demand_rate.add(demand.work.total_s, now_s)
-        if wait_s > budget_s:
+        if wait_s > budget_s and not demand.is_started:
             raise _overloaded_error(
                 f"predicted wait of {wait_s:.3f} s in the queue exceeds"
                 f" the limit of {budget_s:.3f} s",
@@ -184,6 +188,8 @@
 def wait_budget_s(demand: Demand, now_s: float) -> float:
     """Return how long a request may wait for a slot, in seconds."""
     left_s = max(0.0, demand.deadline_at_s - now_s)
+    if demand.is_started:
+        return min(left_s, MAX_RESUME_WAIT_S)
     if demand.is_on_time(now_s):
         return min(left_s, demand.target_s - demand.work.first_token_s - now_s)
     return min(LATE_WAIT_SHARE * left_s, MAX_LATE_WAIT_S)
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -243,6 +243,7 @@
             target_s=self._first_sent_s + self._route.target_s,
             deadline_at_s=self._deadline_at_s - MIN_DISPATCH_S,
             is_caller_retry=self._first_sent_s < self._started_s,
+            is_started=self._relay.is_started,
             shared_part=find_shared_part(self._request),
             excluded=frozenset(self._tried),
             on_new_version=self._tries_new_version and not self._tried,
--- a/azurewick/entry/request_queue.py
+++ b/azurewick/entry/request_queue.py
@@ -23,6 +23,9 @@
 # The same for a request whose caller was refused before. It is higher, as a
 # second refusal would end the request.
 LATE_RETRY_VALUE_FACTOR = 0.6
+# The same for the rest of a stream that has begun. Without it, what has run
+# and what the caller has received is lost.
+STARTED_VALUE_FACTOR = 4.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -31,7 +34,8 @@
 
     target_s is the time by which its first output is due and deadline_at_s its
     deadline, both on the monotonic clock. is_caller_retry is set for a retry
-    by a caller that was refused before. shared_part is the part of its
+    by a caller that was refused before, and is_started for the rest of a
+    stream that another server has begun. shared_part is the part of its
     prompt that other requests have in common with it. excluded names servers
     that must not get the request. on_new_version is set for a request that
     tries the new version of its service. customer is the name of the caller's
@@ -44,6 +48,7 @@
     target_s: float
     deadline_at_s: float
     is_caller_retry: bool = False
+    is_started: bool = False
     shared_part: PromptPart | None = None
     excluded: frozenset[str] = field(default=frozenset())
     on_new_version: bool = False
@@ -64,7 +69,9 @@
         customer_tier, route_tier = self.rank
         value = self.work.value * CUSTOMER_TIER_FACTOR**-customer_tier
         value *= ROUTE_TIER_FACTOR**-route_tier
-        if not self.is_on_time(now_s):
+        if self.is_started:
+            value *= STARTED_VALUE_FACTOR
+        elif not self.is_on_time(now_s):
             value *= (
                 LATE_RETRY_VALUE_FACTOR
                 if self.is_caller_retry
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -80,3 +80,22 @@
         self.assertEqual(ErrorCode.OVERLOADED, caught.exception.code)
         self.assertEqual(0, self.dispatcher.waiting)
         self.assertEqual(1, self.backend.in_flight)
+
+    async def test_begun_stream_waits_for_a_slot_and_goes_first(self):
+        """It was refused by a prediction, and what had run was lost."""
+        await self.start()
+        now_s = monotonic_s()
+        started = build_demand(
+            is_started=True, target_s=now_s, deadline_at_s=now_s + 15.0
+        )
+        waiting = [self.start() for _ in range(3)]
+        waiting.append(
+            asyncio.create_task(self.dispatcher.async_acquire(started))
+        )
+        await asyncio.sleep(0.01)
+        self.dispatcher.release(self.backend)
+        await asyncio.sleep(0.01)
+        self.assertTrue(waiting[-1].done())
+        for task in waiting[:-1]:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
