Send requests only to servers in their home regions

The configuration names home regions of routes and customers, and nothing applied them: a request could reach a server in any region.

The home regions are looked up in the configuration in force whenever servers are chosen for a request and once more before its first byte is sent. A request that no server could ever take is refused at once with the cause.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -161,6 +161,7 @@
             moves=self._moves,
             clock=monotonic_s,
             random=random,
+            on_home_refusal=self.metrics.count_home_refusal,
         )
         limiter = QuotaLimiter(
             _build_tolerance(settings),
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -7,6 +7,7 @@
 from asyncio import timeout_at
 from collections.abc import Callable
 from collections.abc import Sequence
+from dataclasses import replace
 
 from azurewick.entry.admission import ArrivalRates
 from azurewick.entry.admission import predict_wait_s
@@ -76,7 +77,7 @@
         wait_s = self._predict_wait_s(waiter, now_s)
         self._arrival_rates.add(waiter.urgency, demand.work.total_s, now_s)
         self._demand_rate.add(demand.work.total_s, now_s)
-        if wait_s > budget_s:
+        if wait_s > budget_s and not self._can_overtake(demand):
             raise _overloaded_error(
                 f"predicted wait of {wait_s:.3f} s in the queue exceeds"
                 f" the limit of {budget_s:.3f} s",
@@ -124,22 +125,24 @@
         if not len(self._queue):
             return
         now_s = self._clock()
-        # Versions, by on_new_version, whose servers have no free slot.
-        full: set[bool] = set()
+        # Versions, by on_new_version, and home regions whose servers have no
+        # free slot.
+        full: set[tuple[bool, frozenset[str] | None]] = set()
         for waiter in self._queue.in_order():
             if waiter.payload.done():
                 # Cancelled; its task removes it from the queue when it runs
                 # again.
                 continue
             demand = waiter.demand
-            if demand.on_new_version in full:
+            group = demand.on_new_version, demand.current_home_regions()
+            if group in full:
                 continue
             backend = self._placement.choose(
                 self._candidates(demand), demand, now_s
             )
             if backend is None:
                 if not demand.excluded:
-                    full.add(demand.on_new_version)
+                    full.add(group)
                 continue
             backend.in_flight += 1
             self._queue.remove(waiter)
@@ -163,16 +166,36 @@
         self, waiter: Waiter[Future[Backend]], now_s: float
     ) -> float:
         urgency = waiter.urgency
-        work_ahead_s = self._queue.work_ahead_s(urgency)
+        demand = waiter.demand
+        home_regions = demand.current_home_regions()
+        work_ahead_s = self._queue.work_ahead_s(urgency, home_regions)
         if not work_ahead_s:
             # Most requests find no work ahead of them; the capacity is
             # computed over all servers.
             return 0.0
-        return predict_wait_s(
-            work_ahead_s,
-            self._placement.capacity(self._candidates(waiter.demand), now_s),
-            self._arrival_rates.more_urgent_per_s(urgency, now_s),
+        capacity = self._placement.capacity(self._candidates(demand), now_s)
+        more_urgent_per_s = self._arrival_rates.more_urgent_per_s(
+            urgency, now_s
         )
+        if home_regions is not None:
+            # The work that arrives may be meant for any region.
+            total = self._placement.capacity(
+                self._candidates(
+                    replace(demand, home_regions=None, find_home_regions=None)
+                ),
+                now_s,
+            )
+            more_urgent_per_s *= capacity / total if total else 1.0
+        return predict_wait_s(work_ahead_s, capacity, more_urgent_per_s)
+
+    def _can_overtake(self, demand: Demand) -> bool:
+        """Return whether a server is free that the requests ahead can't use.
+
+        They may have other home regions.
+        """
+        return self._queue.has_other_home_regions(
+            demand.current_home_regions()
+        ) and self.has_free_slot(demand)
 
     def _release_unused(self, waiter: Waiter[Future[Backend]]) -> None:
         """Release the slot of a waiter that ended as it was assigned one."""
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -22,6 +22,7 @@
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import DepartureSource
 from azurewick.entry.dispatcher import Dispatcher
+from azurewick.entry.home_regions import RequestHomes
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendCall
 from azurewick.entry.models import CallerRequest
@@ -114,7 +115,8 @@
     """Runs one request: waits, dispatches, retries, relays the answer.
 
     check_first_send raises AzurewickError when a request that has waited may
-    not be sent to a server any more.
+    not be sent to a server any more. Without homes, all regions may get the
+    request.
     """
 
     def __init__(
@@ -129,6 +131,7 @@
         traits: tuple[str, ...],
         writer: AnswerWriter,
         check_first_send: Callable[[], None],
+        homes: RequestHomes | None = None,
     ) -> None:
         self.trace = ExchangeTrace()
         self._parts = parts
@@ -139,6 +142,7 @@
         self._body = body
         self._traits = traits
         self._check_first_send = check_first_send
+        self._homes = homes
         self._tried: set[str] = set()
         self._work: WorkEstimate | None = None
         self._tries_new_version = False
@@ -230,13 +234,22 @@
 
     async def _async_acquire(self) -> Backend:
         now_s = self._parts.clock()
-        backend = await self._parts.dispatcher.async_acquire(
-            self._build_demand()
-        )
+        service = self._parts.service
+        if self._homes is not None:
+            self._homes.raise_if_unservable(service)
+        try:
+            backend = await self._parts.dispatcher.async_acquire(
+                self._build_demand()
+            )
+        except AzurewickError as err:
+            if self._homes is None:
+                raise
+            raise self._homes.explain(err, service) from err
         self.trace.waited_s += self._parts.clock() - now_s
         return backend
 
     def _build_demand(self) -> Demand:
+        homes = self._homes
         return Demand(
             rank=self._rank,
             work=self._estimate(),
@@ -247,6 +260,14 @@
             excluded=frozenset(self._tried),
             on_new_version=self._tries_new_version and not self._tried,
             customer=self._customer,
+            home_regions=None if homes is None else homes.regions(),
+            find_home_regions=None if homes is None else homes.regions,
+        )
+
+    def _is_wanted(self, backend: Backend) -> bool:
+        """Return whether a server may still be sent the request."""
+        return backend.accepts_work(self._parts.clock()) and (
+            self._homes is None or self._homes.allows(backend)
         )
 
     def _estimate(self) -> WorkEstimate:
@@ -271,7 +292,7 @@
             address=backend.entry.address,
             time_left_s=self._deadline_at_s - now_s,
             last_event_id=self._relay.last_event_id,
-            is_wanted=lambda: backend.accepts_work(self._parts.clock()),
+            is_wanted=lambda: self._is_wanted(backend),
         )
         attempt = AttemptTrace(
             server=backend.name,
--- a/azurewick/entry/handler.py
+++ b/azurewick/entry/handler.py
@@ -199,6 +199,9 @@
             check_first_send=partial(
                 self._drain_filter.raise_if_late, route, context.request
             ),
+            homes=self._pools.home_regions.bind(
+                context.request, route, customer
+            ),
         )
 
     def _refund_quota(
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -6,8 +6,12 @@
 from aioprometheus.collectors import Gauge
 from aioprometheus.collectors import Histogram
 
+from azurewick.entry.home_regions import HomeRefusal
 from azurewick.helpers.metrics_endpoint import MetricsEndpoint
 
+# Sets of home regions with a label of their own; the others share one.
+MAX_REGION_SETS = 32
+OTHER_REGIONS = "other"
 DURATION_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
@@ -54,6 +58,26 @@
             registry=self.registry,
         )
 
+        self._home_refusals = Counter(
+            "azurewick_entry_home_refusals_total",
+            "Requests refused by their home regions, by regions and reason.",
+            registry=self.registry,
+        )
+        self._region_sets: set[frozenset[str]] = set()
+
+    def count_home_refusal(
+        self, regions: frozenset[str], reason: HomeRefusal
+    ) -> None:
+        """Record a request that no server of its home regions could take."""
+        label = OTHER_REGIONS
+        if (
+            regions in self._region_sets
+            or len(self._region_sets) < MAX_REGION_SETS
+        ):
+            self._region_sets.add(regions)
+            label = "+".join(sorted(regions))
+        self._home_refusals.inc({"regions": label, "reason": reason.value})
+
     def count_configuration(self, source: str, revision: int) -> None:
         """Record a configuration that has come into force."""
         self._configurations.inc({"source": source})
--- a/azurewick/entry/request_queue.py
+++ b/azurewick/entry/request_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Generic
@@ -36,7 +37,8 @@
     that must not get the request. on_new_version is set for a request that
     tries the new version of its service. customer is the name of the caller's
     customer, empty without one. Only servers in home_regions may get the
-    request, all may if it is None.
+    request, all may if it is None; find_home_regions looks them up again, as
+    the configuration may change while the request waits.
     """
 
     rank: Rank
@@ -49,6 +51,15 @@
     on_new_version: bool = False
     customer: str = ""
     home_regions: frozenset[str] | None = None
+    find_home_regions: Callable[[], frozenset[str] | None] | None = field(
+        default=None, compare=False
+    )
+
+    def current_home_regions(self) -> frozenset[str] | None:
+        """Return the home regions by the configuration in force."""
+        if self.find_home_regions is None:
+            return self.home_regions
+        return self.find_home_regions()
 
     def is_on_time(self, now_s: float) -> bool:
         """Return whether the target can still be met."""
@@ -103,12 +114,27 @@
         """Remove a waiter if it is still in the queue."""
         self._waiters.discard(waiter)
 
-    def work_ahead_s(self, urgency: float) -> float:
-        """Return the work of the waiters that go before a new request."""
+    def work_ahead_s(
+        self, urgency: float, home_regions: frozenset[str] | None = None
+    ) -> float:
+        """Return the work of the waiters that go before a new request.
+
+        Those that share no home region with it don't.
+        """
         return sum(
             waiter.demand.work.total_s
             for waiter in self._waiters
             if waiter.urgency >= urgency
+            and _have_common_region(home_regions, waiter.demand)
+        )
+
+    def has_other_home_regions(
+        self, home_regions: frozenset[str] | None
+    ) -> bool:
+        """Return whether a waiter may use other servers than a request."""
+        return any(
+            waiter.demand.current_home_regions() != home_regions
+            for waiter in self._waiters
         )
 
     def in_order(self) -> list[Waiter[_Payload]]:
@@ -117,3 +143,12 @@
             self._waiters,
             key=lambda waiter: (-waiter.urgency, waiter.arrived_s),
         )
+
+
+def _have_common_region(
+    home_regions: frozenset[str] | None, demand: Demand
+) -> bool:
+    if home_regions is None:
+        return True
+    other = demand.current_home_regions()
+    return other is None or not home_regions.isdisjoint(other)
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -12,6 +12,8 @@
 from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.exchange import ExchangeParts
+from azurewick.entry.home_regions import HomeRefusal
+from azurewick.entry.home_regions import HomeRegions
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import Route
 from azurewick.entry.peers import PeerView
@@ -48,6 +50,9 @@
         moves: VersionMoves,
         clock: Callable[[], float],
         random: Random,
+        on_home_refusal: Callable[
+            [frozenset[str], HomeRefusal], None
+        ] = lambda regions, reason: None,
     ) -> None:
         self._settings = settings
         self._state = state
@@ -67,6 +72,12 @@
         self._peers = peers
         self._crash_guard = crash_guard
         self._moves = moves
+        self.home_regions = HomeRegions(
+            configuration=lambda: state.configuration,
+            regions=lambda: self._settings.regions,
+            servers_of=state.servers_of,
+            on_refusal=on_home_refusal,
+        )
         state.on_change.append(self.dispatch_waiting)
 
     def exchange_parts(self, service: str) -> ExchangeParts:
@@ -165,6 +176,19 @@
         return known.tokens_per_event if known else 1
 
     def _candidates(self, service: str, demand: Demand) -> list[Backend]:
-        return self._moves.serving(
+        servers = self._moves.serving(
             service, on_new_version=demand.on_new_version
         )
+        home_regions = demand.current_home_regions()
+        if home_regions is None:
+            return servers
+        found = self.home_regions.select(servers, home_regions)
+        now_s = self._clock()
+        if demand.on_new_version and not any(
+            server.is_available(now_s) for server in found
+        ):
+            # The new version may run in other regions only.
+            return self.home_regions.select(
+                self._moves.serving(service), home_regions
+            )
+        return found
