Send nothing to servers of evacuated failure domains

Operators can now order that a failure domain gets no requests, by an object of kind evacuations, and nothing read it.

The kind is watched like the version moves. The revision is that of a whole answer of the store, as the event of a removal has the revision of the removed object. Servers of an evacuated domain are in no choice and fail the check before the first byte, but haven't left.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -93,7 +93,11 @@
         random: Random,
     ) -> None:
         self.settings = settings
-        self.state = FleetState(decoder, monotonic_s)
+        self.state = FleetState(
+            decoder,
+            monotonic_s,
+            follows_evacuations=settings.follows_evacuations,
+        )
         self.metrics = EntryMetrics()
         self._client = BackendClient(protocol)
         self._drain = Drain(settings.grace_s)
@@ -209,6 +213,9 @@
         )
         self._caller_server: CallerServer | None = None
         self.state.on_change.append(self._apply_caller_limits)
+        self.state.evacuations.on_change.append(
+            lambda: self.metrics.set_evacuated(self.state.evacuations.domains)
+        )
         self._listeners: list[Listener] = []
         self._dispatch_timer: TimerHandle | None = None
 
@@ -332,6 +339,7 @@
         One that has read it from the store tells all; the others tell a few
         of their region, which then needn't all ask the first one.
         """
+        self.state.has_peer_copy = not is_from_store
         document = self._replicator.history.newest
         if document is not None:
             self.metrics.count_configuration(
@@ -375,6 +383,7 @@
             has_lost_store=self.state.outage.is_recent(now_s),
             list_age_s=self.state.servers_age_s,
             configuration=notice,
+            evacuations=self.state.evacuations.news(now_s),
             age_s=self._limiter.age_s(now_s),
             wants_levels=not self._limiter.is_settled(now_s),
             quota_levels=(
@@ -421,6 +430,9 @@
         self._replicator.record_notice(
             report.name, report.configuration, now_s
         )
+        self.state.evacuations.record_peer(
+            report.evacuations, report.name, now_s
+        )
         if report.departures:
             has_lost_store = self.state.outage.is_recent(now_s)
             self.state.record_peer_departures(
--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -37,13 +37,15 @@
     slowdown is the moving average of the ratio of its answer times to those
     of the nominal server; a slow server has a slowdown above 1. is_listed is
     unset while the server is kept without an entry. has_left is set once
-    this run of the server gets no new work any more. The server wants no
-    requests of this instance until paused_until_s.
+    this run of the server gets no new work any more, is_evacuated while its
+    failure domain is evacuated. The server wants no requests of this instance
+    until paused_until_s.
     """
 
     entry: BackendEntry
     is_listed: bool = True
     has_left: bool = False
+    is_evacuated: bool = False
     in_flight: int = 0
     consecutive_failures: int = 0
     ejections: int = 0
@@ -68,8 +70,12 @@
         return self.accepts_work(now_s) and now_s >= self.ejected_until_s
 
     def accepts_work(self, now_s: float) -> bool:
-        """Return whether the server itself wants new work."""
-        return not self.is_leaving and now_s >= self.paused_until_s
+        """Return whether the server itself wants, and may get, new work."""
+        return (
+            not self.is_leaving
+            and not self.is_evacuated
+            and now_s >= self.paused_until_s
+        )
 
     @property
     def is_leaving(self) -> bool:
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -151,11 +151,11 @@
     def _pause_left_s(self, demand: Demand, now_s: float) -> float:
         """Return the time until a server wants requests again.
 
-        Returns 0 unless each server that doesn't leave has asked for a pause.
+        Returns 0 unless each server that may get work has asked for a pause.
         """
         left_s: list[float] = []
         for backend in self._candidates(demand):
-            if backend.is_leaving:
+            if backend.is_leaving or backend.is_evacuated:
                 continue
             if now_s >= backend.paused_until_s:
                 return 0.0
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -42,10 +42,11 @@
     async def async_apply(self, context: EntryContext) -> None:
         """Set the route; refuse requests without a route or a valid id."""
         configuration = self._state.configuration
-        if configuration is None or not self._state.has_servers:
+        if configuration is None or not self._state.is_ready:
             raise AzurewickError(
                 ErrorCode.NOT_READY,
-                "no configuration has been received yet",
+                "the configuration, the servers or the evacuations have not"
+                " been received yet",
                 step=Step.RECEIVE,
                 retry_after_s=RETRY_AFTER_NOT_READY_S,
             )
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -9,6 +9,8 @@
 from azurewick.entry.home_regions import HomeRefusal
 from azurewick.helpers.metrics_endpoint import MetricsEndpoint
 
+# Failure domains whose evacuation is shown.
+MAX_EVACUATED_DOMAINS = 64
 # Sets of home regions with a label of their own; the others share one.
 MAX_REGION_SETS = 32
 OTHER_REGIONS = "other"
@@ -64,6 +66,22 @@
             registry=self.registry,
         )
         self._region_sets: set[frozenset[str]] = set()
+        self._evacuated = Gauge(
+            "azurewick_entry_evacuated",
+            "Whether a failure domain is evacuated, by failure domain.",
+            registry=self.registry,
+        )
+        self._evacuated_domains: set[str] = set()
+
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Set the failure domains that are evacuated."""
+        for domain in sorted(domains - self._evacuated_domains):
+            if len(self._evacuated_domains) < MAX_EVACUATED_DOMAINS:
+                self._evacuated_domains.add(domain)
+        for domain in self._evacuated_domains:
+            self._evacuated.set(
+                {"failure_domain": domain}, int(domain in domains)
+            )
 
     def count_home_refusal(
         self, regions: frozenset[str], reason: HomeRefusal
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -9,6 +9,7 @@
 from dataclasses import field
 
 from azurewick.entry.departures import Departure
+from azurewick.entry.evacuations import EvacuationList
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.slot_shares import SlotShares
 from azurewick.entry.speeds import SpeedSample
@@ -66,7 +67,7 @@
     outage of the store in which entries of live servers may have expired.
     list_age_s is the time since the store has confirmed the sender's list of
     the servers, None before that. configuration is None before the sender has
-    one.
+    one. evacuations is None unless there are some or have lately been some.
     """
 
     name: str
@@ -88,6 +89,7 @@
     has_lost_store: bool = False
     list_age_s: float | None = None
     configuration: ConfigurationNotice | None = None
+    evacuations: EvacuationList | None = None
 
 
 @dataclass(slots=True)
--- a/azurewick/entry/state.py
+++ b/azurewick/entry/state.py
@@ -14,6 +14,7 @@
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import Departures
 from azurewick.entry.departures import DepartureSource
+from azurewick.entry.evacuations import Evacuations
 from azurewick.entry.models import BackendEntry
 from azurewick.entry.models import FleetConfiguration
 from azurewick.entry.models import VersionMove
@@ -52,19 +53,25 @@
 
 
 class FleetState:
-    """Configuration, backend servers and version moves.
+    """Configuration, backend servers, version moves and evacuations.
 
     The callbacks in on_change are called after each update. has_servers says
-    that the servers have been listed, even if there are none.
+    that the servers have been listed, even if there are none. has_peer_copy
+    is set while the configuration in force came from a peer.
     """
 
     def __init__(
-        self, decoder: DocumentDecoder, clock: Callable[[], float]
+        self,
+        decoder: DocumentDecoder,
+        clock: Callable[[], float],
+        *,
+        follows_evacuations: bool = False,
     ) -> None:
         self.configuration: FleetConfiguration | None = None
         self.registry = BackendRegistry()
         self.moves: dict[str, VersionMove] = {}
         self.has_servers = False
+        self.has_peer_copy = False
         self.on_change: list[Callable[[], None]] = []
         self._decoder = decoder
         self._clock = clock
@@ -73,6 +80,8 @@
         self._servers_reachable: bool | None = None
         self.outage = StoreOutage()
         self.departures = Departures()
+        self.evacuations = Evacuations(is_followed=follows_evacuations)
+        self.evacuations.on_change.append(self._apply_evacuations)
         # Until when servers without an entry are kept, by run.
         self._kept_until_s: dict[str, float] = {}
         self._servers_version = 0
@@ -92,7 +101,13 @@
     @property
     def is_ready(self) -> bool:
         """Return whether requests can be routed."""
-        return self.configuration is not None and self.has_servers
+        return (
+            self.configuration is not None
+            and self.has_servers
+            and self.evacuations.is_settled(
+                self._clock(), has_peer_copy=self.has_peer_copy
+            )
+        )
 
     def update_configuration(self, items: Mapping[str, StoredObject]) -> bool:
         """Apply the stored configuration if its version is newer.
@@ -241,6 +256,7 @@
         self.registry.update(entries, kept=self._find_kept(entries, now_s))
         for backend in self.registry:
             backend.has_left = self.departures.find(backend.entry) is not None
+        self.evacuations.mark(self.registry)
         after = {server.name: server.entry for server in self.registry}
         for name in before.keys() | after.keys():
             if before.get(name) != after.get(name):
@@ -252,6 +268,10 @@
                 )
         self._notify()
 
+    def _apply_evacuations(self) -> None:
+        self.evacuations.mark(self.registry)
+        self._notify()
+
     def _listed_entries(self) -> list[BackendEntry]:
         return [entry for _, entry in self._decoded_servers.values() if entry]
 
--- a/azurewick/entry/watches.py
+++ b/azurewick/entry/watches.py
@@ -13,6 +13,7 @@
 from azurewick.entry.state import FleetState
 from azurewick.entry.store_health import CALM_WATCH_S
 from azurewick.entry.store_health import StoreHealth
+from azurewick.entry.store_health import TROUBLED_WATCH_S
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.helpers.clock import monotonic_s
@@ -42,6 +43,10 @@
 # Changes of the servers within this time cost one call to the store. A
 # draining server must get no new work 2.5 s after it was announced.
 SERVERS_PAUSE_S = 0.5
+# Instances whose watches of the evacuations always wait shortly, so that one
+# notices a lost answer in time and tells the others in its reports. The second
+# one covers the end of the first.
+EVACUATION_READERS = 2
 # With this limit the servers are read again within a second of the store's
 # return.
 MAX_BACKOFF_S = 0.6
@@ -56,10 +61,11 @@
     configuration: ObjectName
     servers: str
     moves: str
+    evacuations: str
 
 
 class FleetWatches:
-    """Keeps the servers and version moves of a FleetState up to date.
+    """Keeps servers, version moves and evacuations of a FleetState current.
 
     While the store is calm, watches wait long, and stale reads check that
     they haven't missed a change. When a call fails, all watches start again
@@ -94,12 +100,18 @@
         )
         self._servers = servers
         servers.on_confirmed = state.record_servers_read
-        self._watchers = (
+        self._watchers: tuple[StoreWatcher, ...] = (
             servers,
             self._build_watcher(
                 kinds.moves, lambda items, _: state.update_moves(items)
             ),
         )
+        self._evacuations: StoreWatcher | None = None
+        if state.evacuations.is_followed:
+            self._evacuations = self._build_evacuation_watcher(
+                kinds.evacuations
+            )
+            self._watchers += (self._evacuations,)
         self._tasks: list[Task[None]] = []
         store.on_trouble = self._handle_trouble
         store.on_answer = lambda: state.outage.record_answer(monotonic_s())
@@ -145,6 +157,25 @@
             polls_after_failure=polls_after_failure,
         )
 
+    def _build_evacuation_watcher(self, kind: str) -> StoreWatcher:
+        evacuations = self._state.evacuations
+        watcher = self._build_watcher(
+            kind,
+            lambda items, version: None,
+            on_reachability_change=lambda readable: evacuations.set_readable(
+                readable, monotonic_s()
+            ),
+            polls_after_failure=True,
+        )
+        # A removal in a watch has the revision of the removed object. The
+        # revision of the whole answer tells which list is newer.
+        watcher.on_synced = lambda items, version: (
+            evacuations.update_from_store(items, version, monotonic_s())
+        )
+        # Until this instance's rank is known.
+        watcher.watch_timeout_s = TROUBLED_WATCH_S
+        return watcher
+
     def _handle_trouble(self, code: ErrorCode, unanswered_s: float) -> None:
         """Start all watches again: their answers may be lost too."""
         now_s = monotonic_s()
@@ -162,6 +193,11 @@
         timeout_s = self._health.watch_timeout_s(monotonic_s())
         for watcher in self._watchers:
             watcher.watch_timeout_s = timeout_s
+        if (
+            self._evacuations is not None
+            and self._own_rank() < EVACUATION_READERS
+        ):
+            self._evacuations.watch_timeout_s = TROUBLED_WATCH_S
 
     async def _async_check(self) -> None:
         while True:
--- a/azurewick/membership/watcher.py
+++ b/azurewick/membership/watcher.py
@@ -75,6 +75,11 @@
         self._reachable: bool | None = None
         # Called when the store has confirmed that the objects are current.
         self.on_confirmed: Callable[[], None] | None = None
+        # Called with all objects and the version of the list after each
+        # answer of the store, once all changes in it are applied.
+        self.on_synced: (
+            Callable[[Mapping[str, StoredObject], int], None] | None
+        ) = None
         self._scope: asyncio.Timeout | None = None
 
     @property
@@ -141,6 +146,7 @@
         self._version = listed.version
         self._set_reachable(True)
         self._report_change()
+        self._report_synced()
 
     async def _async_watch(self, timeout_s: float | None) -> None:
         assert self._version is not None
@@ -151,6 +157,12 @@
         ):
             self._set_reachable(True)
             self._apply(event)
+        self._report_synced()
+
+    def _report_synced(self) -> None:
+        if self.on_synced is not None:
+            assert self._version is not None
+            self.on_synced(self._objects, self._version)
 
     def _apply(self, event: WatchEvent) -> None:
         self._version = max(self._version or 0, event.version)
--- a/azurewick/platform/application.py
+++ b/azurewick/platform/application.py
@@ -14,6 +14,7 @@
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
 from azurewick.platform.const import KIND_CONFIGURATION
+from azurewick.platform.const import KIND_EVACUATIONS
 from azurewick.platform.const import KIND_ROLLOUTS
 from azurewick.platform.const import KIND_SERVERS
 from azurewick.platform.const import NAME_CONFIGURATION
@@ -60,6 +61,7 @@
             ),
             servers=KIND_SERVERS,
             moves=KIND_ROLLOUTS,
+            evacuations=KIND_EVACUATIONS,
         ),
         decoder=PlatformDocuments(),
         protocol=PlatformProtocol(),
--- a/azurewick/platform/store.py
+++ b/azurewick/platform/store.py
@@ -29,7 +29,7 @@
 
 # The store normally responds within 4 ms, and within 60 times that when slow.
 REQUEST_TIMEOUT_S = 1.0
-# Rate limit of one instance, which runs three watches with their checks, a
+# Rate limit of one instance, which runs four watches with their checks, a
 # heartbeat and a regular list.
 CALLS_PER_S = 20.0
 BURST_CALLS = 40.0
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -101,6 +101,7 @@
     configuration=ObjectName(plural="config", name="main"),
     servers="servers",
     moves="rollouts",
+    evacuations="evacuations",
 )
 
 
--- a/tests/entry/instance_case.py
+++ b/tests/entry/instance_case.py
@@ -73,6 +73,26 @@
         self.instance = instance
         return instance
 
+    async def async_start_peer(self, **changes) -> EntryInstance:
+        """Start an instance with a way of its own to the store."""
+        address = await self.store.async_add_address()
+        self.peer_port = int(address.rpartition(":")[2])
+        settings = replace(build_settings(address, "e2"), **changes)
+        peer = build_entry(settings)
+        await peer.async_start()
+        self.addAsyncCleanup(peer.async_stop)
+        await self.async_until(lambda: peer.state.is_ready)
+        # Both find each other in the store.
+        await self.async_until(
+            lambda: all(
+                instance._peers.instance_count == 2
+                for instance in (self.instance, peer)
+            ),
+            8.0,
+        )
+        await asyncio.sleep(0.5)
+        return peer
+
     def put_configuration(self, version, **changes):
         route = {**CONFIGURATION["routes"][1], "service": "huvo11a"}
         route.pop("split")
