--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -6,8 +6,14 @@
 from aioprometheus.collectors import Gauge
 from aioprometheus.collectors import Histogram
 
+from azurewick.entry.home_regions import HomeRefusal
 from azurewick.helpers.metrics_endpoint import MetricsEndpoint
 
+# Failure domains whose evacuation is shown.
+MAX_EVACUATED_DOMAINS = 64
+# Sets of home regions with a label of their own; the others share one.
+MAX_REGION_SETS = 32
+OTHER_REGIONS = "other"
 DURATION_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
@@ -54,6 +60,42 @@
             registry=self.registry,
         )
 
+        self._home_refusals = Counter(
+            "azurewick_entry_home_refusals_total",
+            "Requests refused by their home regions, by regions and reason.",
+            registry=self.registry,
+        )
+        self._region_sets: set[frozenset[str]] = set()
+        self._evacuated = Gauge(
+            "azurewick_entry_evacuated",
+            "Whether a failure domain is evacuated, by failure domain.",
+            registry=self.registry,
+        )
+        self._evacuated_domains: set[str] = set()
+
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Set the failure domains that are evacuated."""
+        for domain in sorted(domains - self._evacuated_domains):
+            if len(self._evacuated_domains) < MAX_EVACUATED_DOMAINS:
+                self._evacuated_domains.add(domain)
+        for domain in self._evacuated_domains:
+            self._evacuated.set(
+                {"failure_domain": domain}, int(domain in domains)
+            )
+
+    def count_home_refusal(
+        self, regions: frozenset[str], reason: HomeRefusal
+    ) -> None:
+        """Record a request that no server of its home regions could take."""
+        label = OTHER_REGIONS
+        if (
+            regions in self._region_sets
+            or len(self._region_sets) < MAX_REGION_SETS
+        ):
+            self._region_sets.add(regions)
+            label = "+".join(sorted(regions))
+        self._home_refusals.inc({"regions": label, "reason": reason.value})
+
     def count_configuration(self, source: str, revision: int) -> None:
         """Record a configuration that has come into force."""
         self._configurations.inc({"source": source})
