Rank requests by what they cost an engine, not by their own time

Under overload requests are served by value per second of work, and the work was the time that a request itself takes. A prompt holds up the whole batch, while output tokens come with those of all others, so that short answers to long prompts looked cheap and went before answers of a higher tier. The cost is now the time for which the whole engine is busy: the prompt, and the share of the steps. Waits are still predicted from the requests' own times.

The test of the largest tenth plays the new order and passes at the same bound.

--- a/azurewick/entry/request_queue.py
+++ b/azurewick/entry/request_queue.py
@@ -71,9 +71,9 @@
         return now_s + self.work.first_token_s <= self.target_s
 
     def urgency(self, now_s: float) -> float:
-        """Return the value of the request per second of work.
+        """Return the value of the request per second of its cost.
 
-        Serving requests by value per work (Smith's rule) yields the highest
+        Serving requests by value per cost (Smith's rule) yields the highest
         total value under overload. A strict order of the tiers would starve
         short requests of a low tier behind long ones of the next tier.
         """
@@ -88,7 +88,7 @@
                 if self.is_caller_retry
                 else LATE_VALUE_FACTOR
             )
-        return value / self.work.total_s
+        return value / self.work.cost_s
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
--- a/azurewick/entry/work.py
+++ b/azurewick/entry/work.py
@@ -17,6 +17,10 @@
 NOMINAL_PREFILL_TOKEN_S = 0.000008
 NOMINAL_PREFILL_PAIR_S = 2.6e-10
 NOMINAL_OUTPUT_TOKEN_S = 0.0042
+# Requests that share the steps of the nominal engine, and the part of the time
+# to the first token in which it works on the request alone.
+NOMINAL_BATCH = 12
+NOMINAL_START_S = 0.002
 # Work of a request to a plain service, which has no prompt.
 NOMINAL_PLAIN_S = 0.045
 # Weight of the newest sample in the moving averages.
@@ -40,12 +44,20 @@
     """Work of a request in seconds on the nominal engine.
 
     first_token_s is the part until the first output token. value is the value
-    of the request relative to the mean of its route.
+    of the request relative to the mean of its route. engine_s is how long the
+    whole engine is busy for it, None for a plain service: all requests in the
+    batch wait while a prompt is processed, and share the steps afterwards.
     """
 
     first_token_s: float
     total_s: float
     value: float = 1.0
+    engine_s: float | None = None
+
+    @property
+    def cost_s(self) -> float:
+        """Return what serving the request costs the other requests."""
+        return self.total_s if self.engine_s is None else self.engine_s
 
 
 class WorkEstimator:
@@ -74,9 +86,9 @@
             output = round(request.output_tokens * share)
         work = measure_work(request, output)
         value = self._value(route, request, output)
-        mean_urgency = self._update_mean_urgency(route, value / work.total_s)
+        mean_urgency = self._update_mean_urgency(route, value / work.cost_s)
         if _is_ranked_by_mean(request):
-            value = mean_urgency * work.total_s
+            value = mean_urgency * work.cost_s
         return replace(work, value=value)
 
     def max_work_s(self, route: Route, request: CallerRequest) -> float:
@@ -135,12 +147,13 @@
 def measure_work(request: CallerRequest, output_tokens: int) -> WorkEstimate:
     """Return the work of a request for a given number of output tokens."""
     prompt = request.input_tokens or 0
-    first_token_s = (
-        NOMINAL_FIRST_TOKEN_S
-        + prompt * NOMINAL_PREFILL_TOKEN_S
-        + prompt**2 * NOMINAL_PREFILL_PAIR_S
+    prefill_s = (
+        prompt * NOMINAL_PREFILL_TOKEN_S + prompt**2 * NOMINAL_PREFILL_PAIR_S
     )
+    output_s = output_tokens * NOMINAL_OUTPUT_TOKEN_S
+    first_token_s = NOMINAL_FIRST_TOKEN_S + prefill_s
     return WorkEstimate(
         first_token_s=first_token_s,
-        total_s=first_token_s + output_tokens * NOMINAL_OUTPUT_TOKEN_S,
+        total_s=first_token_s + output_s,
+        engine_s=NOMINAL_START_S + prefill_s + output_s / NOMINAL_BATCH,
     )
--- a/tests/entry/test_work.py
+++ b/tests/entry/test_work.py
@@ -70,6 +70,18 @@
         usual = self.urgency(MEAN_OUTPUT_TOKENS)
         self.assertGreater(self.urgency(3 * MEAN_OUTPUT_TOKENS), 0.5 * usual)
 
+    def test_prompt_costs_more_than_its_own_time(self):
+        """All requests in the batch wait while a prompt is processed.
+
+        Ranked by their own times, short answers to prompts of 1,800 tokens
+        went before answers of a higher tier that cost the engine less.
+        """
+        tag = measure_work(build_request(input_tokens=1800), 24)
+        answer = measure_work(build_request(input_tokens=630), 290)
+        self.assertGreater(5 * tag.cost_s, answer.cost_s)
+        self.assertLess(5 * tag.total_s, answer.total_s)
+        self.assertLess(answer.cost_s, answer.total_s / 5)
+
     def test_request_without_a_hint_has_the_value_of_a_usual_one(self):
         for _ in range(200):
             self.estimator.record_output(
@@ -121,7 +133,7 @@
                     expected_output_tokens=output,
                 ),
             )
-            urgency = work.value / work.total_s
+            urgency = work.value / work.cost_s
             waiting.append((urgency, now_s, work.total_s, number))
             waiting = [
                 one for one in waiting if now_s - one[1] < self.MAX_WAIT_S
