Keep to the rates of cold servers over all instances

A server that has just started crashes when it gets far more requests a second than it can take, and no instance limited what it sent there.

An instance now takes a server for cold when its entry says so, when its run is new, when a connection was refused or lost before an answer, when a peer reports one of these (key "k"), and when its domain's evacuation has ended. It then sends only its share of the rate, which it computes from the names of the live instances. The share is counted right before the bytes go out; a request that finds it used up goes on to another server. An instance that isn't known to the others yet sends a request in 4 s at the most, in a sixteenth of that time. One that hears less than a quarter of its peers takes a server for cold unless that has kept answering.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -19,6 +19,9 @@
 
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backend_client import MAX_FIELD_BYTES
+from azurewick.entry.cold_budget import ColdShares
+from azurewick.entry.cold_budget import ColdTolerance
+from azurewick.entry.cold_servers import ColdServers
 from azurewick.entry.conviction_store import ConvictionStore
 from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.drain import Drain
@@ -148,6 +151,15 @@
             monotonic_s(),
         )
         self.state.on_change.append(lambda: self._moves.update(monotonic_s()))
+        self.cold_servers = ColdServers(
+            ColdShares(settings.name),
+            tolerance=_build_cold_tolerance(settings),
+            peers=self._peers,
+            find_service=self.state.find_service,
+        )
+        # Registered before the pools, which use it at each change.
+        self.state.on_change.append(self._update_cold_servers)
+        self.cold_servers.on_news.append(lambda: self._gossip.announce())
         self._move_writer = MoveWriter(
             store, kinds.moves, self._moves, monotonic_s
         )
@@ -159,6 +171,7 @@
             peers=self._peers,
             crash_guard=self._crash_guard,
             moves=self._moves,
+            send_limits=self.cold_servers,
             clock=monotonic_s,
             random=random,
         )
@@ -306,6 +319,7 @@
         self._body_memory.limit_bytes = settings.body_memory_bytes
         self._limiter.tolerance = _build_tolerance(settings)
         self._moves.limits = _build_exposure_limits(settings)
+        self.cold_servers.tolerance = _build_cold_tolerance(settings)
         self.pools.apply_settings(settings)
         _LOGGER.info("settings reloaded", extra={"instance": settings.name})
 
@@ -351,6 +365,7 @@
     def _build_report(self, sequence: int) -> PeerReport:
         configuration = self.state.configuration
         now_s = monotonic_s()
+        self._refresh_cold_servers(now_s)
         notice = self._replicator.notice(now_s)
         if notice is not None:
             self.metrics.configuration_age_s.set({}, notice.age_s)
@@ -374,6 +389,7 @@
             has_lost_store=self.state.outage.is_recent(now_s),
             list_age_s=self.state.servers_age_s,
             configuration=notice,
+            restarts=self.cold_servers.claims(now_s),
             age_s=self._limiter.age_s(now_s),
             wants_levels=not self._limiter.is_settled(now_s),
             quota_levels=(
@@ -383,6 +399,26 @@
             ),
         )
 
+    def _update_cold_servers(self) -> None:
+        if self.state.has_servers:
+            self.cold_servers.update_servers(
+                (backend.entry for backend in self.state.registry),
+                monotonic_s(),
+            )
+
+    def _refresh_cold_servers(self, now_s: float) -> None:
+        """Find the servers that are no longer cold.
+
+        Those that still are may have room for a request again.
+        """
+        before = self.cold_servers.count
+        self.cold_servers.refresh(self._directory.registered_s, now_s)
+        self.metrics.record_cold_servers(
+            self.cold_servers.count, self.cold_servers.withheld
+        )
+        if before:
+            self.pools.dispatch_waiting()
+
     def _recent_outcomes(self, now_s: float) -> dict[str, OutcomeCount]:
         counts = {
             backend.name: backend.outcomes.count(now_s)
@@ -428,6 +464,7 @@
                     has_lost_store, now_s
                 ),
             )
+        self.cold_servers.record_claims(report.restarts, now_s)
         self._crash_guard.record_peer(report.suspicions, report.convictions)
         self._moves.record_peer(
             report.name, report.incarnation, report.moves, now_s
@@ -496,6 +533,12 @@
     )
 
 
+def _build_cold_tolerance(settings: EntrySettings) -> ColdTolerance:
+    return ColdTolerance(
+        overage=settings.cold_overage, allowance=settings.cold_allowance
+    )
+
+
 def _build_exposure_limits(settings: EntrySettings) -> ExposureLimits:
     return ExposureLimits(
         share=settings.exposure_share, allowance=settings.exposure_allowance
--- a/azurewick/entry/backend_client.py
+++ b/azurewick/entry/backend_client.py
@@ -5,9 +5,11 @@
 from collections.abc import AsyncIterator
 from logging import getLogger
 
+from aiohttp import ClientConnectorError
 from aiohttp import ClientResponse
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
+from aiohttp import ServerDisconnectedError
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -55,6 +57,22 @@
         )
 
 
+def shows_lost_server(error: AzurewickError) -> bool:
+    """Return whether a failed call suggests that its server has crashed.
+
+    That is a connection that was refused or lost before an answer. One that
+    wasn't established in time rather shows a broken link.
+    """
+    cause = error.__cause__
+    if error.code is ErrorCode.BACKEND_UNREACHABLE:
+        return isinstance(cause, ClientConnectorError) and isinstance(
+            cause.os_error, ConnectionRefusedError
+        )
+    return isinstance(
+        cause, ServerDisconnectedError | OSError
+    ) and not isinstance(cause, TimeoutError)
+
+
 class BackendClient:
     """Sends each call exactly once, on a new connection.
 
--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -38,13 +38,15 @@
     of the nominal server; a slow server has a slowdown above 1. is_listed is
     unset while the server is kept without an entry. has_left is set once
     this run of the server gets no new work any more. The server wants no
-    requests of this instance until paused_until_s.
+    requests of this instance until paused_until_s. sent_in_flight counts those
+    of the requests in flight that have been sent.
     """
 
     entry: BackendEntry
     is_listed: bool = True
     has_left: bool = False
     in_flight: int = 0
+    sent_in_flight: int = 0
     consecutive_failures: int = 0
     ejections: int = 0
     ejected_until_s: float = 0.0
@@ -63,6 +65,11 @@
         """Return whether the server is a model engine."""
         return self.entry.is_engine
 
+    @property
+    def unsent(self) -> int:
+        """Return the number of assigned requests that aren't sent yet."""
+        return max(0, self.in_flight - self.sent_in_flight)
+
     def is_available(self, now_s: float) -> bool:
         """Return whether the server may get new work."""
         return self.accepts_work(now_s) and now_s >= self.ejected_until_s
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 from logging import getLogger
 
 from aiohttp import ClientError
@@ -17,6 +18,7 @@
 from azurewick.entry.backend_client import BackendClient
 from azurewick.entry.backend_client import RETRY_AFTER_S
 from azurewick.entry.backend_client import ServerWithdrawnError
+from azurewick.entry.backend_client import shows_lost_server
 from azurewick.entry.backends import Backend
 from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.departures import Departure
@@ -35,6 +37,8 @@
 from azurewick.entry.request_body import RequestBody
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_queue import Rank
+from azurewick.entry.send_limits import NoSendLimits
+from azurewick.entry.send_limits import SendLimits
 from azurewick.entry.stall_watchdog import StalledError
 from azurewick.entry.stall_watchdog import StallWatchdog
 from azurewick.entry.trace import AttemptTrace
@@ -108,6 +112,7 @@
     record_departure: Callable[[Departure], None]
     servers_age_s: Callable[[], float | None]
     clock: Callable[[], float]
+    send_limits: SendLimits = field(default_factory=NoSendLimits)
 
 
 class Exchange:
@@ -144,6 +149,8 @@
         self._tries_new_version = False
         # Server of the current attempt.
         self._backend: Backend | None = None
+        # Whether the current attempt has been sent.
+        self._is_sent = False
         self._runs = 0
         # Whether a server has gone on after it had begun the answer.
         self._is_sound = False
@@ -262,6 +269,7 @@
         self._tried.add(backend.name)
         self._runs += 1
         self._backend = backend
+        self._is_sent = False
         self._parts.moves.record_sent(self._route, backend)
         call = BackendCall(
             request=self._request,
@@ -271,7 +279,7 @@
             address=backend.entry.address,
             time_left_s=self._deadline_at_s - now_s,
             last_event_id=self._relay.last_event_id,
-            is_wanted=lambda: backend.accepts_work(self._parts.clock()),
+            is_wanted=lambda: self._try_send(backend),
         )
         attempt = AttemptTrace(
             server=backend.name,
@@ -295,6 +303,10 @@
             attempt.outcome = str(response.status)
             attempt.ending = AnswerEnding.COMPLETE
         except AzurewickError as err:
+            if response is None and shows_lost_server(err):
+                self._parts.send_limits.record_failure(
+                    backend.entry, self._parts.clock()
+                )
             if response is None and err.outcome is Outcome.UNKNOWN:
                 self._record_lost_server(backend)
             self._fail_attempt(backend, err, is_lost=response is None)
@@ -325,9 +337,27 @@
                 self._record_end(backend, failed=True)
             raise
         finally:
+            backend.sent_in_flight -= self._is_sent
             if response is not None:
                 response.close()
 
+    def _try_send(self, backend: Backend) -> bool:
+        """Return whether the server gets the request, and count it."""
+        now_s = self._parts.clock()
+        limits = self._parts.send_limits
+        if not backend.accepts_work(now_s) or not limits.try_send(
+            backend.entry, now_s
+        ):
+            return False
+        self._is_sent = True
+        backend.sent_in_flight += 1
+        pause_s = limits.retry_after_s(backend.entry, now_s)
+        if pause_s is not None:
+            asyncio.get_running_loop().call_later(
+                pause_s, self._parts.dispatcher.assign_slots
+            )
+        return True
+
     async def _async_relay(
         self,
         backend: Backend,
@@ -348,6 +378,10 @@
         if head.status == STATUS_UNAVAILABLE and head.retry_after_s:
             self._pause_server(backend, head.retry_after_s)
         self._check_answer_head(backend, head)
+        if head.is_success:
+            self._parts.send_limits.record_success(
+                backend.entry, sent_s, self._parts.clock()
+            )
         if self._route.is_stream and head.is_success:
             max_tokens = self._request.output_tokens
             events = await self._relay.async_relay_stream(
@@ -394,6 +428,11 @@
         attempt.ending = classify_ending(
             cause or error, has_head=bool(attempt.framing)
         )
+        if isinstance(error, ServerWithdrawnError) and backend.accepts_work(
+            self._parts.clock()
+        ):
+            # Only the rate of requests to it was used up.
+            self._tried.discard(backend.name)
         if error.outcome is Outcome.NOT_RUN:
             self._runs -= 1
             if error.code is ErrorCode.BACKEND_UNREACHABLE:
--- a/azurewick/entry/instances.py
+++ b/azurewick/entry/instances.py
@@ -104,7 +104,9 @@
     """Registers this instance in the store and finds the others.
 
     on_peers gets the live peers by name after each read. An instance that
-    can't read the store keeps the peers that it had.
+    can't read the store keeps the peers that it had. registered_s is the time
+    at which the list first had what this run has written, so that it isn't
+    older than that; it is None until then.
     """
 
     def __init__(
@@ -121,7 +123,9 @@
         self._random = random
         self._on_peers = on_peers
         self._table = InstanceTable(name)
+        self.registered_s: float | None = None
         self._heartbeat = random.getrandbits(31)
+        self._first_heartbeat = self._heartbeat + 1
         self._task: Task[None] | None = None
         self._live: dict[str, PeerInstance] | None = None
         self._next_heartbeat_s = 0.0
@@ -185,8 +189,20 @@
                 "other entry instances changed", extra={"live": sorted(live)}
             )
             self._live = live
+        if self.registered_s is None and any(
+            item.name == self._name and self._is_own(item.status)
+            for item in listed.items
+        ):
+            self.registered_s = now_s
         self._on_peers(live)
 
+    def _is_own(self, fields: Mapping[str, Any]) -> bool:
+        """Return whether a status was written by this run."""
+        status = _read_status(fields)
+        return status is not None and (
+            self._first_heartbeat <= status[0] <= self._heartbeat
+        )
+
     def _build_object(self) -> StoredObject:
         return StoredObject(
             plural=KIND_INSTANCES,
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from aioprometheus.collectors import Counter
 from aioprometheus.collectors import Gauge
 from aioprometheus.collectors import Histogram
@@ -54,6 +56,26 @@
             registry=self.registry,
         )
 
+        self._cold_servers = Gauge(
+            "azurewick_entry_cold_servers",
+            "Servers that are taken for cold.",
+            registry=self.registry,
+        )
+        self._cold_withheld = Counter(
+            "azurewick_entry_cold_withheld_total",
+            "Times that a cold server's budget held back a request, by stage:"
+            " placement (a server passed over) or send (a request refused).",
+            registry=self.registry,
+        )
+
+    def record_cold_servers(
+        self, count: int, withheld: Mapping[str, int]
+    ) -> None:
+        """Record the cold servers and what their budgets held back."""
+        self._cold_servers.set({}, count)
+        for stage, total in withheld.items():
+            self._cold_withheld.set({"stage": stage}, total)
+
     def count_configuration(self, source: str, revision: int) -> None:
         """Record a configuration that has come into force."""
         self._configurations.inc({"source": source})
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from azurewick.entry.cold_reports import RestartClaim
 from azurewick.entry.departures import Departure
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.slot_shares import SlotShares
@@ -66,7 +67,7 @@
     outage of the store in which entries of live servers may have expired.
     list_age_s is the time since the store has confirmed the sender's list of
     the servers, None before that. configuration is None before the sender has
-    one.
+    one. restarts is what it has seen of servers that may have restarted.
     """
 
     name: str
@@ -88,6 +89,7 @@
     has_lost_store: bool = False
     list_age_s: float | None = None
     configuration: ConfigurationNotice | None = None
+    restarts: Sequence[RestartClaim] = ()
 
 
 @dataclass(slots=True)
@@ -129,6 +131,23 @@
         """Return the number of instances, this one included."""
         return len(self._members)
 
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Return the names of the live instances in order."""
+        return self._members
+
+    def has_left(self, name: str) -> bool:
+        """Return whether an instance has said that it stops."""
+        return name in self._left_incarnations
+
+    def heard_share(self, now_s: float) -> float:
+        """Return the share of the other instances that aren't silent."""
+        others = [name for name in self._members if name != self._own_name]
+        if not others:
+            return 1.0
+        silent = sum(self._is_silent(name, now_s) for name in others)
+        return 1.0 - silent / len(others)
+
     @property
     def own_rank(self) -> tuple[int, int]:
         """Return this instance's place among the live ones, and their number.
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -15,6 +15,8 @@
 from azurewick.entry.ratings import Ratings
 from azurewick.entry.ratings import ServerRater
 from azurewick.entry.request_queue import Demand
+from azurewick.entry.send_limits import NoSendLimits
+from azurewick.entry.send_limits import SendLimits
 
 # Limit of requests at a server of a plain service, as a multiple of its
 # slots. The server queues the rest, which costs less than a refusal.
@@ -89,8 +91,10 @@
         regions: Mapping[str, str],
         random: Random,
         peers: PeerView,
+        send_limits: SendLimits | None = None,
     ) -> None:
         self._peers = peers
+        self._send_limits = send_limits or NoSendLimits()
         self._failure_domain = failure_domain
         self._regions = regions
         self._region = regions.get(failure_domain, "")
@@ -102,7 +106,9 @@
         slowdowns = self._rater.rate(candidates, now_s).slowdowns
         return sum(
             limit / slowdowns[backend.name]
-            for backend, limit in self._slot_limits(candidates, now_s)
+            for backend, limit in self._slot_limits(
+                candidates, now_s, ignores_sent=True
+            )
         )
 
     def choose(
@@ -130,6 +136,10 @@
         ]
         if not free:
             return None
+        ordinary = self._without_last_resorts(free, now_s)
+        if ordinary and len(ordinary) < len(free):
+            free = ordinary
+            usable = self._without_last_resorts(usable, now_s)
         ratings = self._rater.rate(candidates, now_s)
         cost, cheapest = self._find_cheapest(free, demand, ratings, now_s)
         if cost.late_steps:
@@ -139,6 +149,15 @@
         home = self._find_home(usable, cost, demand, ratings, now_s)
         return home or cheapest
 
+    def _without_last_resorts(
+        self, servers: Sequence[tuple[Backend, int]], now_s: float
+    ) -> list[tuple[Backend, int]]:
+        return [
+            (backend, limit)
+            for backend, limit in servers
+            if not self._send_limits.is_last_resort(backend, now_s)
+        ]
+
     def _find_cheapest(
         self,
         servers: Sequence[tuple[Backend, int]],
@@ -158,7 +177,11 @@
         return cost, cheapest
 
     def _slot_limits(
-        self, candidates: Sequence[Backend], now_s: float
+        self,
+        candidates: Sequence[Backend],
+        now_s: float,
+        *,
+        ignores_sent: bool = False,
     ) -> list[tuple[Backend, int]]:
         """Return the available servers, each with its limit.
 
@@ -170,12 +193,18 @@
         for backend in candidates:
             if not backend.is_available(now_s):
                 continue
+            total = self._send_limits.usable_slots(
+                backend,
+                _total_slots(backend),
+                now_s,
+                ignores_sent=ignores_sent,
+            )
+            if not total:
+                continue
             limits.append(
                 (
                     backend,
-                    shares.available(
-                        _total_slots(backend), backend.name, backend.in_flight
-                    ),
+                    shares.available(total, backend.name, backend.in_flight),
                 )
             )
         return limits
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -12,6 +12,8 @@
 
 import orjson
 
+from azurewick.entry.cold_reports import encode_claims
+from azurewick.entry.cold_reports import read_claims
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import DepartureSource
 from azurewick.entry.outcomes import OutcomeCount
@@ -61,6 +63,7 @@
 KEY_HAS_LOST_STORE = "y"
 KEY_LIST_AGE = "r"
 KEY_CONFIGURATION = "g"
+KEY_RESTARTS = "k"
 # Sources of departures in reports, by index.
 DEPARTURE_SOURCES = tuple(DepartureSource)
 
@@ -122,6 +125,8 @@
         fields[KEY_LIST_AGE] = round(report.list_age_s / AGE_UNIT_S)
     if report.configuration is not None:
         fields[KEY_CONFIGURATION] = _encode_notice(report.configuration)
+    if report.restarts:
+        fields[KEY_RESTARTS] = encode_claims(report.restarts)
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -153,6 +158,7 @@
             departures=_read_departures(body.get(KEY_DEPARTURES, [])),
             list_age_s=_read_age(body.get(KEY_LIST_AGE)),
             configuration=_read_notice(body.get(KEY_CONFIGURATION)),
+            restarts=read_claims(body.get(KEY_RESTARTS, [])),
             has_lost_store=body.get(KEY_HAS_LOST_STORE) is True,
         )
     except (
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -19,6 +19,7 @@
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
+from azurewick.entry.send_limits import SendLimits
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.state import FleetState
 from azurewick.entry.state import SOURCE_SERVER
@@ -46,6 +47,7 @@
         peers: PeerView,
         crash_guard: CrashGuard,
         moves: VersionMoves,
+        send_limits: SendLimits,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
@@ -63,7 +65,9 @@
             regions=settings.regions,
             random=random,
             peers=peers,
+            send_limits=send_limits,
         )
+        self._send_limits = send_limits
         self._peers = peers
         self._crash_guard = crash_guard
         self._moves = moves
@@ -157,6 +161,7 @@
             ),
             servers_age_s=lambda: self._state.servers_age_s,
             clock=self._clock,
+            send_limits=self._send_limits,
         )
 
     def _tokens_per_event(self, service: str) -> int:
--- a/azurewick/entry/state.py
+++ b/azurewick/entry/state.py
@@ -16,6 +16,7 @@
 from azurewick.entry.departures import DepartureSource
 from azurewick.entry.models import BackendEntry
 from azurewick.entry.models import FleetConfiguration
+from azurewick.entry.models import Service
 from azurewick.entry.models import VersionMove
 from azurewick.entry.store_outage import StoreOutage
 from azurewick.errors import AzurewickError
@@ -226,6 +227,13 @@
         self.moves = moves
         self._notify()
 
+    def find_service(self, name: str) -> Service | None:
+        """Return a service of the configuration in force."""
+        configuration = self.configuration
+        return (
+            None if configuration is None else configuration.services.get(name)
+        )
+
     def servers_of(self, service: str) -> list[Backend]:
         """Return the backend servers of a service."""
         return self.registry.of_service(service)
