Test the evidence and the send check of cold servers; hash members once

A request that a cold server's budget held back kept the server among those that it had tried and could never return to it; taking it out at once made a request ask the same server until its deadline. Now only the last such server is excluded. An entry that was written after a loss replaces it also when it says that the server is still cold. The order of the instances for a run is mixed from one hash of each name, since hundreds of servers may become cold at once. Nothing is computed or logged for services without cold servers.

--- a/azurewick/entry/cold_budget.py
+++ b/azurewick/entry/cold_budget.py
@@ -37,6 +37,11 @@
 # An instance that vanishes from the list without a farewell counts for this
 # much longer: it may only be cut off, and still use its share.
 VANISHED_COUNTS_S = 120.0
+# Mixes the hashes of an instance and of a run; 2**64 by the golden ratio, odd.
+# A hash of each pair would hold up the event loop when hundreds of servers
+# become cold at once.
+MIX_FACTOR = 0x9E3779B97F4A7C15
+WEIGHT_MASK = 2**64 - 1
 # Cached shares are dropped when there are more; restarts add runs.
 MAX_CACHED_RUNS = 4096
 
@@ -101,6 +106,7 @@
         # Until when instances that have vanished count, by name.
         self._vanished_until_s: dict[str, float] = {}
         self._settled_from_s: float | None = None
+        self._weights = [_weigh(own_name)]
         self._ranks: dict[str, int] = {}
 
     @property
@@ -134,7 +140,9 @@
             if now_s < until_s and name not in members and not has_left(name)
         }
         self._members = members
-        if before != self._members | self._vanished_until_s.keys():
+        counted = self._members | self._vanished_until_s.keys()
+        if before != counted:
+            self._weights = [_weigh(name) for name in counted]
             self._ranks.clear()
 
     def is_settled(self, now_s: float) -> bool:
@@ -168,11 +176,13 @@
         """
         rank = self._ranks.get(run)
         if rank is None:
-            own = _weigh(self._own_name, run)
+            run_weight = _weigh(run)
+            own = (
+                (_weigh(self._own_name) ^ run_weight) * MIX_FACTOR
+            ) & WEIGHT_MASK
             rank = sum(
-                _weigh(name, run) > own
-                for name in self._members | self._vanished_until_s.keys()
-                if name != self._own_name
+                ((weight ^ run_weight) * MIX_FACTOR) & WEIGHT_MASK > own
+                for weight in self._weights
             )
             if len(self._ranks) >= MAX_CACHED_RUNS:
                 self._ranks.clear()
@@ -184,12 +194,14 @@
     ) -> Allowance:
         interval_s = max(UNSETTLED_INTERVAL_S, 1.0 / per_s)
         slot = int(now_s / interval_s * UNSETTLED_SLOTS) % UNSETTLED_SLOTS
-        may_send = slot == _weigh(self._own_name, run)[0] % UNSETTLED_SLOTS
+        own_slot = _weigh(f"{self._own_name}|{run}") % UNSETTLED_SLOTS
+        may_send = slot == own_slot
         if self._settled_from_s is not None:
             senders = max(1, floor(UNSETTLED_SENDERS_FACTOR * per_s))
             may_send = may_send and self.rank(run) < senders
         return Allowance(count=int(may_send), window_s=interval_s)
 
 
-def _weigh(name: str, run: str) -> bytes:
-    return blake2b(f"{name}|{run}".encode(), digest_size=8).digest()
+def _weigh(name: str) -> int:
+    digest = blake2b(name.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- a/azurewick/entry/cold_evidence.py
+++ b/azurewick/entry/cold_evidence.py
@@ -45,11 +45,11 @@
     cold_until_s is what its entry says. presumed_from_s is when the run began
     to be presumed cold for its service's cold_s. failed_s is the time of the
     latest loss that any instance reports, and success_s that of the first
-    success after it; own_failed_s and own_success_s are this instance's.
-    Losses up to cleared_s are refuted by an entry. answered_s is the time of
-    the latest answer here, and contact_from_s that of the first one without a
-    longer gap than MIN_RESTART_S up to now. learned_from_peer tells who
-    noticed the loss.
+    success after it; own_failed_s and own_success_s are this instance's. An
+    entry that was written after cleared_s replaces earlier losses. answered_s
+    is the time of the latest answer here, contact_from_s that of the first one
+    without a longer gap than MIN_RESTART_S up to now, and learned_from_peer
+    tells who noticed the loss.
     """
 
     entry: BackendEntry
@@ -98,9 +98,6 @@
             return
         self.entry = entry
         self.cold_until_s = now_s + entry.cold_left_s
-        if entry.cold_left_s > 0:
-            return
-        self.cold_until_s = NEVER_S
         self.cleared_s = now_s - MAX_ENTRY_AGE_S
         if (
             self.presumed_reason is ColdReason.NEW_RUN
@@ -151,7 +148,7 @@
         if failed_s <= self.cleared_s:
             failed_s = NEVER_S
         started_s = NEVER_S
-        if reports_start and self.presumed_reason is ColdReason.NEW_RUN:
+        if reports_start:
             started_s = self.presumed_from_s
         if failed_s == self.own_success_s == started_s == NEVER_S:
             return None
--- a/azurewick/entry/cold_servers.py
+++ b/azurewick/entry/cold_servers.py
@@ -72,6 +72,8 @@
         # Servers that are taken for cold, with the reason that was logged.
         self._cold: dict[str, ColdReason] = {}
         self._has_list = False
+        # Whether a server is of a service whose servers may be cold.
+        self._has_limits = False
         self._is_isolated = False
         self._announced_s = float("-inf")
 
@@ -113,6 +115,9 @@
             if name in self._servers or sends.is_recent(now_s)
         }
         self._has_list = True
+        self._has_limits = any(
+            self._rate(server.entry) for server in self._servers.values()
+        )
         for name in self._cold.keys() - self._servers.keys():
             del self._cold[name]
         for server in self._servers.values():
@@ -128,7 +133,9 @@
         self.shares.set_members(
             peers.members, registered_s, peers.has_left, now_s
         )
-        is_isolated = peers.heard_share(now_s) < ISOLATED_HEARD_SHARE
+        is_isolated = self._has_limits and (
+            peers.heard_share(now_s) < ISOLATED_HEARD_SHARE
+        )
         if is_isolated != self._is_isolated:
             _LOGGER.info(
                 "reports of %s instances arrive",
@@ -198,9 +205,8 @@
         )
         found: list[RestartClaim] = []
         for server in servers:
-            run = server.entry.run_name
             claim = server.build_claim(
-                now_s, reports_start=self.shares.rank(run) < START_REPORTERS
+                now_s, reports_start=self._reports_start(server)
             )
             if claim is not None:
                 found.append(claim)
@@ -284,6 +290,12 @@
             return None
         return self._allowance(server, now_s).window_s
 
+    def _reports_start(self, server: ServerEvidence) -> bool:
+        return (
+            server.presumed_reason is ColdReason.NEW_RUN
+            and self.shares.rank(server.entry.run_name) < START_REPORTERS
+        )
+
     def _find(self, entry: BackendEntry) -> ServerEvidence | None:
         """Return the evidence on the run that an entry describes."""
         server = self._servers.get(entry.name)
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -149,6 +149,8 @@
         self._tries_new_version = False
         # Server of the current attempt.
         self._backend: Backend | None = None
+        # Name of the server that has last held back the request as it is cold.
+        self._withheld_by = ""
         # Whether the current attempt has been sent.
         self._is_sent = False
         self._runs = 0
@@ -431,8 +433,10 @@
         if isinstance(error, ServerWithdrawnError) and backend.accepts_work(
             self._parts.clock()
         ):
-            # Only the rate of requests to it was used up.
-            self._tried.discard(backend.name)
+            # Only the rate of requests to it is used up. It may get the
+            # request once another server hasn't taken it either.
+            self._tried.discard(self._withheld_by)
+            self._withheld_by = backend.name
         if error.outcome is Outcome.NOT_RUN:
             self._runs -= 1
             if error.code is ErrorCode.BACKEND_UNREACHABLE:
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -35,6 +35,8 @@
 from azurewick.entry.request_body import RequestBody
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_traits import request_traits
+from azurewick.entry.send_limits import NoSendLimits
+from azurewick.entry.send_limits import SendLimits
 from azurewick.entry.state import FleetState
 from azurewick.entry.version_moves import ExposureLimits
 from azurewick.entry.version_moves import VersionMoves
@@ -182,12 +184,15 @@
     return peers
 
 
-def build_placement(peers: PeerView | None = None) -> LeastLoadPlacement:
+def build_placement(
+    peers: PeerView | None = None, **changes
+) -> LeastLoadPlacement:
     return LeastLoadPlacement(
         failure_domain="north",
         regions={"north": "home", "south": "home", "far": "away"},
         peers=peers or build_peers(),
         random=Random(1),
+        **changes,
     )
 
 
@@ -380,13 +385,20 @@
     The servers are tried in order.
     """
 
-    def __init__(self, servers: list[ScriptedServer], *, retries: int = 10):
+    def __init__(
+        self,
+        servers: list[ScriptedServer],
+        *,
+        retries: int = 10,
+        send_limits: SendLimits | None = None,
+    ):
         self.writer = RecordingWriter()
         self.backends: list[Backend] = []
         self.crash_guard = CrashGuard(monotonic_s)
         self.departures: list[Departure] = []
         self._servers = servers
         self._client = BackendClient(PlatformProtocol())
+        self._send_limits = send_limits or NoSendLimits()
         self._retries = RetryBudget(ratio=0.0, allowance=retries)
 
     async def async_start(self) -> None:
@@ -425,6 +437,7 @@
             record_departure=self.departures.append,
             servers_age_s=lambda: state.servers_age_s,
             clock=monotonic_s,
+            send_limits=self._send_limits,
         )
         request = build_request(received_s=monotonic_s(), **changes)
         return Exchange(
