--- a/tests/entry/test_instances.py
+++ b/tests/entry/test_instances.py
@@ -96,6 +96,7 @@
         )
         directory.start()
         self.addAsyncCleanup(directory.async_stop)
+        return directory
 
     async def test_status_is_written_right_after_the_creation(self):
         # The store drops a status that is sent when an object is created.
@@ -110,6 +111,22 @@
         self.assertEqual("127.0.0.1:1", status["address"])
         self.assertEqual("home", status["region"])
 
+    async def test_list_counts_once_it_has_the_status_of_this_run(self):
+        # An older list doesn't have the instances that have just started.
+        self.fake.put(KIND_INSTANCES, "e1", {})
+        item = self.fake.objects[KIND_INSTANCES]["e1"]
+        item["status"] = {"beat": 1, "address": "127.0.0.1:1", "region": ""}
+        self.fake.refuses_writes = True
+        found = asyncio.Event()
+        directory = self.start(lambda peers: found.set())
+        async with asyncio.timeout(2):
+            await found.wait()
+        self.assertIsNone(directory.registered_s)
+        self.fake.refuses_writes = False
+        await directory._async_publish()
+        await directory._async_read()
+        self.assertIsNotNone(directory.registered_s)
+
     async def test_peers_are_found_while_writes_are_refused(self):
         self.fake.put(KIND_INSTANCES, "e2", {})
         item = self.fake.objects[KIND_INSTANCES]["e2"]
