--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -39,7 +39,8 @@
     unset while the server is kept without an entry. has_left is set once
     this run of the server gets no new work any more, is_evacuated while its
     failure domain is evacuated. The server wants no requests of this instance
-    until paused_until_s.
+    until paused_until_s. sent_in_flight counts those of the requests in flight
+    that have been sent.
     """
 
     entry: BackendEntry
@@ -47,6 +48,7 @@
     has_left: bool = False
     is_evacuated: bool = False
     in_flight: int = 0
+    sent_in_flight: int = 0
     consecutive_failures: int = 0
     ejections: int = 0
     ejected_until_s: float = 0.0
@@ -65,6 +67,11 @@
         """Return whether the server is a model engine."""
         return self.entry.is_engine
 
+    @property
+    def unsent(self) -> int:
+        """Return the number of assigned requests that aren't sent yet."""
+        return max(0, self.in_flight - self.sent_in_flight)
+
     def is_available(self, now_s: float) -> bool:
         """Return whether the server may get new work."""
         return self.accepts_work(now_s) and now_s >= self.ejected_until_s
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -12,6 +12,8 @@
 
 import orjson
 
+from azurewick.entry.cold_reports import encode_claims
+from azurewick.entry.cold_reports import read_claims
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import DepartureSource
 from azurewick.entry.evacuations import decode_evacuations
@@ -64,6 +66,7 @@
 KEY_LIST_AGE = "r"
 KEY_CONFIGURATION = "g"
 KEY_EVACUATIONS = "e"
+KEY_RESTARTS = "k"
 # Sources of departures in reports, by index.
 DEPARTURE_SOURCES = tuple(DepartureSource)
 
@@ -127,6 +130,8 @@
         fields[KEY_CONFIGURATION] = _encode_notice(report.configuration)
     if report.evacuations is not None:
         fields[KEY_EVACUATIONS] = encode_evacuations(report.evacuations)
+    if report.restarts:
+        fields[KEY_RESTARTS] = encode_claims(report.restarts)
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -159,6 +164,7 @@
             list_age_s=_read_age(body.get(KEY_LIST_AGE)),
             configuration=_read_notice(body.get(KEY_CONFIGURATION)),
             evacuations=decode_evacuations(body.get(KEY_EVACUATIONS)),
+            restarts=read_claims(body.get(KEY_RESTARTS, [])),
             has_lost_store=body.get(KEY_HAS_LOST_STORE) is True,
         )
     except (
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -21,6 +21,7 @@
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
+from azurewick.entry.send_limits import SendLimits
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.state import FleetState
 from azurewick.entry.state import SOURCE_SERVER
@@ -48,6 +49,7 @@
         peers: PeerView,
         crash_guard: CrashGuard,
         moves: VersionMoves,
+        send_limits: SendLimits,
         clock: Callable[[], float],
         random: Random,
         on_home_refusal: Callable[
@@ -68,7 +70,9 @@
             regions=settings.regions,
             random=random,
             peers=peers,
+            send_limits=send_limits,
         )
+        self._send_limits = send_limits
         self._peers = peers
         self._crash_guard = crash_guard
         self._moves = moves
@@ -168,6 +172,7 @@
             ),
             servers_age_s=lambda: self._state.servers_age_s,
             clock=self._clock,
+            send_limits=self._send_limits,
         )
 
     def _tokens_per_event(self, service: str) -> int:
