Grant slots of engines by an elected broker

With more instances than slots of an engine, each instance borrowed nearly all slots by lot on the basis of reports that are some tenths of a second old.

An instance now asks the broker of a group of engines for a slot. The broker, an instance that all compute alike, queues the requests of all instances by urgency and places them by the counts of the whole fleet. Without an acknowledgement the request uses the own shares as before.

Not measured yet; the existing tests of the entry instance pass.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from asyncio import get_running_loop
+from asyncio import Task
 from asyncio import TimerHandle
 from collections.abc import Mapping
 from logging import getLogger
@@ -39,6 +40,7 @@
 from azurewick.entry.peers import CACHE_TTL_S
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
+from azurewick.entry.processor_share import ProcessorShare
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.quota import QuotaLimiter
 from azurewick.entry.quota import QuotaTolerance
@@ -48,6 +50,7 @@
 from azurewick.entry.request_body import BodyMemory
 from azurewick.entry.services import ServicePools
 from azurewick.entry.settings import EntrySettings
+from azurewick.entry.slot_grants import build_slot_grants
 from azurewick.entry.speeds import SpeedSample
 from azurewick.entry.state import DocumentDecoder
 from azurewick.entry.state import FleetState
@@ -60,6 +63,8 @@
 from azurewick.helpers.filter_chain import FilterChain
 from azurewick.helpers.listener import Listener
 from azurewick.helpers.stop_signal import StopSignal
+from azurewick.helpers.tasks import async_cancel
+from azurewick.helpers.tasks import create_supervised_task
 from azurewick.poison.culprits import Conviction
 from azurewick.replication.models import PeerAddress
 from azurewick.replication.peer_api import PeerApi
@@ -162,6 +167,24 @@
             clock=monotonic_s,
             random=random,
         )
+        self._grants = build_slot_grants(
+            settings,
+            incarnation=self._incarnation,
+            state=self.state,
+            moves=self._moves,
+            peers=self._peers,
+            placement=self.pools.placement,
+            random=random,
+            send=lambda name, message: self._gossip.send_message(
+                name, message
+            ),
+            clock=monotonic_s,
+            count=self.metrics.count_slot_ask,
+        )
+        self.pools.grants = self._grants
+        self._processor_share = ProcessorShare(self._set_processor_share)
+        self._set_processor_share(self._processor_share.value)
+        self._share_task: Task[None] | None = None
         limiter = QuotaLimiter(
             _build_tolerance(settings),
             self._peers.usable_quota_fraction,
@@ -170,7 +193,13 @@
         own = PeerInstance(
             address=settings.peer_address, region=settings.region
         )
-        self._gossip = PeerGossip(own, self._build_report, self._handle_report)
+        self._gossip = PeerGossip(
+            own,
+            self._build_report,
+            self._handle_report,
+            own_name=settings.name,
+            on_message=self._grants.handle,
+        )
         self._store = store
         self._directory = InstanceDirectory(
             store,
@@ -222,6 +251,9 @@
         self._directory.start()
         self._convictions.start()
         self._move_writer.start()
+        self._share_task = create_supervised_task(
+            "processor share", self._processor_share.async_measure
+        )
         await self.metrics.async_start(settings.metrics_address)
         await self._async_listen(
             Server(self._async_ready, access_log=None), settings.ready_address
@@ -246,6 +278,8 @@
         """
         drain = self._drain
         drain.start(monotonic_s())
+        # Askers use another broker from the next report on.
+        self._processor_share.stop()
         _LOGGER.info(
             "entry instance draining",
             extra={"active": len(self.handler.open_requests)},
@@ -267,6 +301,8 @@
         """Answer the open requests, close the HTTP servers and stop."""
         self._drain.close()
         self.handler.open_requests.end_all(monotonic_s())
+        if self._share_task is not None:
+            await async_cancel(self._share_task)
         await asyncio.gather(
             self._directory.async_stop(),
             self._convictions.async_stop(),
@@ -306,6 +342,8 @@
         self._body_memory.limit_bytes = settings.body_memory_bytes
         self._limiter.tolerance = _build_tolerance(settings)
         self._moves.limits = _build_exposure_limits(settings)
+        self._grants.is_enabled = settings.uses_slot_grants
+        self._set_processor_share(self._processor_share.value)
         self.pools.apply_settings(settings)
         _LOGGER.info("settings reloaded", extra={"instance": settings.name})
 
@@ -323,6 +361,9 @@
             }
         )
         self._gossip.set_peers(peers)
+        self._grants.election.set_peers(
+            {name: peer.region for name, peer in peers.items()}
+        )
         self.pools.split_retry_budgets()
 
     def _announce_configuration(self, is_from_store: bool) -> None:
@@ -348,12 +389,20 @@
             self._random.sample(near, min(ANNOUNCED_PEERS, len(near)))
         )
 
+    def _set_processor_share(self, share: float) -> None:
+        """Report a share; 0 without slot grants, as a broker needs them."""
+        share = share if self.settings.uses_slot_grants else 0.0
+        self._grants.election.own_share = share
+        self._grants.election.expire()
+        self.metrics.processor_share.set({}, share)
+
     def _build_report(self, sequence: int) -> PeerReport:
         configuration = self.state.configuration
         now_s = monotonic_s()
         notice = self._replicator.notice(now_s)
         if notice is not None:
             self.metrics.configuration_age_s.set({}, notice.age_s)
+        self.metrics.broker_waiting.set({}, self._grants.broker.waiting)
         return PeerReport(
             name=self.settings.name,
             incarnation=self._incarnation,
@@ -374,6 +423,7 @@
             has_lost_store=self.state.outage.is_recent(now_s),
             list_age_s=self.state.servers_age_s,
             configuration=notice,
+            processor_share=self._grants.election.own_share,
             age_s=self._limiter.age_s(now_s),
             wants_levels=not self._limiter.is_settled(now_s),
             quota_levels=(
@@ -416,7 +466,10 @@
         now_s = monotonic_s()
         previous = self._peers.record_report(report, now_s)
         if previous is None:
+            if report.is_leaving:
+                self._grants.record_left(report.name, now_s)
             return
+        self._grants.record_report(report, now_s)
         self._replicator.record_notice(
             report.name, report.configuration, now_s
         )
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -7,6 +7,7 @@
 from asyncio import timeout_at
 from collections.abc import Callable
 from collections.abc import Sequence
+from typing import Protocol
 
 from azurewick.entry.admission import ArrivalRates
 from azurewick.entry.admission import predict_wait_s
@@ -30,6 +31,29 @@
 MIN_REPORTED_WAIT_S = 0.2
 
 
+class SlotDispatcher(Protocol):
+    """Provides slots of one service's servers."""
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+
+    async def async_acquire(self, demand: Demand) -> Backend:
+        """Wait for a slot and return its server; call release afterwards.
+
+        Raises AzurewickError with code overloaded.
+        """
+
+    def has_free_slot(self, demand: Demand) -> bool:
+        """Return whether a server could take a request at once."""
+
+    def release(self, backend: Backend) -> None:
+        """Free a slot of a server."""
+
+    def assign_slots(self) -> None:
+        """Assign free slots to waiting requests."""
+
+
 class Dispatcher:
     """Assigns slots of one service's servers to requests by urgency.
 
@@ -56,9 +80,14 @@
         """Return the number of waiting requests."""
         return len(self._queue)
 
-    async def async_acquire(self, demand: Demand) -> Backend:
+    async def async_acquire(
+        self, demand: Demand, *, budget_s: float | None = None
+    ) -> Backend:
         """Wait for a slot and return its server; call release afterwards.
 
+        budget_s is the rest of the time that a request may wait which has
+        been counted in demand_rate and has waited elsewhere.
+
         Raises AzurewickError with code overloaded: at once when the
         predicted wait, or the time until a server wants requests again,
         exceeds the time that the request may wait, otherwise when that time
@@ -72,22 +101,18 @@
             urgency=demand.urgency(now_s),
             arrived_s=now_s,
         )
-        budget_s = wait_budget_s(demand, now_s)
+        if budget_s is None:
+            budget_s = wait_budget_s(demand, now_s)
+            self._demand_rate.add(demand.work.total_s, now_s)
         wait_s = self._predict_wait_s(waiter, now_s)
         self._arrival_rates.add(waiter.urgency, demand.work.total_s, now_s)
-        self._demand_rate.add(demand.work.total_s, now_s)
         if wait_s > budget_s:
-            raise _overloaded_error(
+            raise overloaded_error(
                 f"predicted wait of {wait_s:.3f} s in the queue exceeds"
                 f" the limit of {budget_s:.3f} s",
                 wait_s,
             )
-        pause_s = self._pause_left_s(demand, now_s)
-        if pause_s > budget_s:
-            raise _overloaded_error(
-                f"all backend servers want no requests for {pause_s:.3f} s",
-                pause_s,
-            )
+        self.raise_if_paused(demand, budget_s, now_s)
         self._queue.add(waiter)
         self.assign_slots()
         try:
@@ -95,7 +120,7 @@
                 return await waiter.payload
         except TimeoutError as err:
             self._release_unused(waiter)
-            raise _overloaded_error(
+            raise overloaded_error(
                 f"no backend server became free within {budget_s:.3f} s",
                 self._predict_wait_s(waiter, self._clock()),
             ) from err
@@ -105,6 +130,17 @@
         finally:
             self._queue.remove(waiter)
 
+    def raise_if_paused(
+        self, demand: Demand, budget_s: float, now_s: float
+    ) -> None:
+        """Refuse a request if no server wants any within its time."""
+        pause_s = self._pause_left_s(demand, now_s)
+        if pause_s > budget_s:
+            raise overloaded_error(
+                f"all backend servers want no requests for {pause_s:.3f} s",
+                pause_s,
+            )
+
     def has_free_slot(self, demand: Demand) -> bool:
         """Return whether a server could take a request at once."""
         return (
@@ -189,7 +225,8 @@
     return min(LATE_WAIT_SHARE * left_s, MAX_LATE_WAIT_S)
 
 
-def _overloaded_error(message: str, wait_s: float) -> AzurewickError:
+def overloaded_error(message: str, wait_s: float) -> AzurewickError:
+    """Return the refusal of a request with a predicted wait."""
     return AzurewickError(
         ErrorCode.OVERLOADED,
         message,
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -21,7 +21,7 @@
 from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import DepartureSource
-from azurewick.entry.dispatcher import Dispatcher
+from azurewick.entry.dispatcher import SlotDispatcher
 from azurewick.entry.models import AnswerHead
 from azurewick.entry.models import BackendCall
 from azurewick.entry.models import CallerRequest
@@ -98,7 +98,7 @@
     service: str
     client: BackendClient
     protocol: WireProtocol
-    dispatcher: Dispatcher
+    dispatcher: SlotDispatcher
     retry_budget: RetryBudget
     work_estimator: WorkEstimator
     request_ages: RequestAgeEstimator
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -13,6 +13,10 @@
 from logging import getLogger
 from typing import Any
 
+from azurewick.entry.broker_messages import decode_message
+from azurewick.entry.broker_messages import encode_message
+from azurewick.entry.broker_messages import is_broker_message
+from azurewick.entry.broker_messages import Message
 from azurewick.entry.instances import PeerInstance
 from azurewick.entry.peers import LARGE_FLEET_INSTANCES
 from azurewick.entry.peers import PeerReport
@@ -53,10 +57,15 @@
         own: PeerInstance,
         build_report: Callable[[int], PeerReport],
         on_report: Callable[[PeerReport], None],
+        *,
+        own_name: str = "",
+        on_message: Callable[[str, Message, float], None] | None = None,
     ) -> None:
         self._own = own
         self._build_report = build_report
         self._on_report = on_report
+        self._own_name = own_name
+        self._on_message = on_message
         self._peer_addresses: dict[str, tuple[str, int]] = {}
         # Names of the peers in other regions.
         self._remote_peers: frozenset[str] = frozenset()
@@ -117,6 +126,9 @@
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Handle a report; ignore those of unknown names or addresses."""
         try:
+            if is_broker_message(data):
+                self._receive_message(data, addr[0])
+                return
             report = decode_report(data)
         except AzurewickError as err:
             if self._log_limit.allows(addr[0], monotonic_s()):
@@ -129,6 +141,13 @@
         if report.wants_levels:
             self._reply(peer_address)
 
+    def send_message(self, name: str, message: Message) -> None:
+        """Send a peer a message about slots."""
+        address = self._peer_addresses.get(name)
+        if address is not None and self._transport is not None:
+            data = encode_message(message, self._own_name, monotonic_s())
+            self._send_data(data, address)
+
     def error_received(self, exc: Exception) -> None:
         """Log that a peer's port is closed.
 
@@ -136,6 +155,18 @@
         """
         _LOGGER.debug("datagram to a peer not delivered: %s", exc)
 
+    def _receive_message(self, data: bytes, host: str) -> None:
+        """Handle a message about slots; ignore those of unknown senders.
+
+        Raises AzurewickError with code invalid_request.
+        """
+        now_s = monotonic_s()
+        sender, message = decode_message(data, self._own_name, now_s)
+        address = self._peer_addresses.get(sender)
+        if address is None or address[0] != host or self._on_message is None:
+            return
+        self._on_message(sender, message, now_s)
+
     def _next_report(self) -> PeerReport:
         self._sequence += 1
         return self._build_report(self._sequence)
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -38,6 +38,22 @@
             registry=self.registry,
         )
 
+        self._slot_asks = Counter(
+            "azurewick_entry_slot_asks_total",
+            "Asks for slots by outcome: granted, refused, fallback, unusable"
+            " or withdrawn.",
+            registry=self.registry,
+        )
+        self.broker_waiting = Gauge(
+            "azurewick_entry_broker_waiting_requests",
+            "Requests that wait at this instance as the broker.",
+            registry=self.registry,
+        )
+        self.processor_share = Gauge(
+            "azurewick_entry_processor_share",
+            "Weight of this instance in the elections of brokers.",
+            registry=self.registry,
+        )
         self._configurations = Counter(
             "azurewick_entry_configurations_total",
             "Configurations received, by source: store or peer.",
@@ -54,6 +70,10 @@
             registry=self.registry,
         )
 
+    def count_slot_ask(self, outcome: str) -> None:
+        """Record the end of an ask for a slot."""
+        self._slot_asks.inc({"outcome": outcome})
+
     def count_configuration(self, source: str, revision: int) -> None:
         """Record a configuration that has come into force."""
         self._configurations.inc({"source": source})
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -62,8 +63,10 @@
     only while a peer that has just started sets wants_levels. suspicions and
     convictions are about requests that crash servers, moves about the version
     moves in progress, and departures about servers that have left lately.
-    has_lost_store says that the sender has, or had until a moment ago, an
-    outage of the store in which entries of live servers may have expired.
+    processor_share tells how well the sender could be a broker of slots, 0 if
+    it can't. has_lost_store says that the sender has, or had until a moment
+    ago, an outage of the store in which entries of live servers may have
+    expired.
     list_age_s is the time since the store has confirmed the sender's list of
     the servers, None before that. configuration is None before the sender has
     one.
@@ -88,6 +91,7 @@
     has_lost_store: bool = False
     list_age_s: float | None = None
     configuration: ConfigurationNotice | None = None
+    processor_share: float = 0.0
 
 
 @dataclass(slots=True)
@@ -199,6 +203,19 @@
             self._shares = None
         return previous
 
+    def reports(self, now_s: float) -> Iterator[PeerReport]:
+        """Yield the latest reports of the peers that aren't silent."""
+        for name, peer in self._peers.items():
+            if not self._is_silent(name, now_s):
+                yield peer.report
+
+    def processor_shares(self, now_s: float) -> dict[str, float]:
+        """Return the processor shares that the live peers report."""
+        return {
+            report.name: report.processor_share
+            for report in self.reports(now_s)
+        }
+
     def wants_levels(self, now_s: float) -> bool:
         """Return whether a peer has just started and asks for quota levels."""
         return any(
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+from copy import copy
 from math import ceil
 from random import Random
 from typing import NamedTuple
@@ -72,6 +73,30 @@
         """Return the nominal work a second that this instance may place."""
 
 
+class SlotView(Protocol):
+    """What placement knows about the slots of the servers.
+
+    total is the number of a server's slots, own_used the number of this
+    instance's requests there.
+    """
+
+    def used(self, total: int, backend: str, own_used: int) -> int:
+        """Return the number of requests that count against the limits."""
+
+    def available(self, total: int, backend: str, own_used: int = 0) -> int:
+        """Return the limit of the requests that count."""
+
+    def unused(self, total: int, backend: str) -> int:
+        """Return the limit if only what is in use is subtracted."""
+
+
+class SlotSource(Protocol):
+    """Provides the view of the slots at a time."""
+
+    def slot_shares(self, now_s: float) -> SlotView:
+        """Return the view of the slots."""
+
+
 class LeastLoadPlacement:
     """Chooses the server with the least load relative to its speed.
 
@@ -90,13 +115,23 @@
         random: Random,
         peers: PeerView,
     ) -> None:
-        self._peers = peers
+        self._slots: SlotSource = peers
         self._failure_domain = failure_domain
         self._regions = regions
         self._region = regions.get(failure_domain, "")
         self._random = random
         self._rater = ServerRater(peers)
 
+    def with_slots(self, slots: SlotSource) -> LeastLoadPlacement:
+        """Return a placement with another view of the slots.
+
+        A broker places by the counts of the whole fleet instead of the shares
+        of its own instance.
+        """
+        placement = copy(self)
+        placement._slots = slots
+        return placement
+
     def capacity(self, candidates: Sequence[Backend], now_s: float) -> float:
         """Return the nominal work a second that this instance may place."""
         slowdowns = self._rater.rate(candidates, now_s).slowdowns
@@ -126,7 +161,7 @@
         free = [
             (backend, limit)
             for backend, limit in usable
-            if backend.in_flight < limit
+            if self._used(backend, now_s) < limit
         ]
         if not free:
             return None
@@ -165,7 +200,7 @@
         The limit is the number of requests that this instance may have in
         flight there.
         """
-        shares = self._peers.slot_shares(now_s)
+        shares = self._slots.slot_shares(now_s)
         limits = []
         for backend in candidates:
             if not backend.is_available(now_s):
@@ -187,12 +222,12 @@
 
         This instance may use them although it isn't drawn to borrow there.
         """
-        shares = self._peers.slot_shares(now_s)
+        shares = self._slots.slot_shares(now_s)
         found = []
         for backend, _ in usable:
             if backend.is_engine:
                 unused = shares.unused(backend.entry.slots, backend.name)
-                if unused - backend.in_flight >= OPEN_SLOTS:
+                if unused - self._used(backend, now_s) >= OPEN_SLOTS:
                     found.append((backend, unused))
         return found
 
@@ -216,7 +251,7 @@
             backend.name: (backend, limit)
             for backend, limit in self._find_open(usable, now_s)
             if self._is_near(backend)
-            and limit - backend.in_flight
+            and limit - self._used(backend, now_s)
             >= HOME_UNUSED_SHARE * backend.entry.slots
         }
         allowance = AFFINITY_ALLOWANCE * min(
@@ -242,6 +277,12 @@
                 return backend
         return None
 
+    def _used(self, backend: Backend, now_s: float) -> int:
+        """Return the number of requests that count against the limit."""
+        return self._slots.slot_shares(now_s).used(
+            _total_slots(backend), backend.name, backend.in_flight
+        )
+
     def _is_near(self, backend: Backend) -> bool:
         domain = backend.entry.failure_domain
         return self._regions.get(domain, "") == self._region
@@ -256,7 +297,7 @@
     ) -> Cost:
         """Return the cost of a server."""
         slowdown = ratings.slowdowns[backend.name]
-        load = (backend.in_flight + 1) / limit
+        load = (self._used(backend, now_s) + 1) / limit
         return Cost(
             is_suspect=backend.name in ratings.suspects,
             late_steps=_lateness_steps(
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -61,6 +61,7 @@
 KEY_HAS_LOST_STORE = "y"
 KEY_LIST_AGE = "r"
 KEY_CONFIGURATION = "g"
+KEY_PROCESSOR_SHARE = "P"
 # Sources of departures in reports, by index.
 DEPARTURE_SOURCES = tuple(DepartureSource)
 
@@ -122,6 +123,8 @@
         fields[KEY_LIST_AGE] = round(report.list_age_s / AGE_UNIT_S)
     if report.configuration is not None:
         fields[KEY_CONFIGURATION] = _encode_notice(report.configuration)
+    if report.processor_share:
+        fields[KEY_PROCESSOR_SHARE] = round(report.processor_share, 2)
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -154,6 +157,9 @@
             list_age_s=_read_age(body.get(KEY_LIST_AGE)),
             configuration=_read_notice(body.get(KEY_CONFIGURATION)),
             has_lost_store=body.get(KEY_HAS_LOST_STORE) is True,
+            processor_share=max(
+                0.0, _read_float(body.get(KEY_PROCESSOR_SHARE, 0.0))
+            ),
         )
     except (
         AttributeError,
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -11,7 +11,9 @@
 from azurewick.entry.backends import Backend
 from azurewick.entry.crash_guard import CrashGuard
 from azurewick.entry.dispatcher import Dispatcher
+from azurewick.entry.dispatcher import SlotDispatcher
 from azurewick.entry.exchange import ExchangeParts
+from azurewick.entry.grant_dispatcher import GrantDispatcher
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.models import Route
 from azurewick.entry.peers import PeerView
@@ -20,6 +22,7 @@
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.settings import EntrySettings
+from azurewick.entry.slot_grants import SlotGrants
 from azurewick.entry.state import FleetState
 from azurewick.entry.state import SOURCE_SERVER
 from azurewick.entry.version_moves import VersionMoves
@@ -64,6 +67,8 @@
             random=random,
             peers=peers,
         )
+        # Without it, each instance uses its own shares.
+        self.grants: SlotGrants | None = None
         self._peers = peers
         self._crash_guard = crash_guard
         self._moves = moves
@@ -140,12 +145,7 @@
             service=service,
             client=self._client,
             protocol=self._protocol,
-            dispatcher=Dispatcher(
-                partial(self._candidates, service),
-                self.placement,
-                self._peers.demand,
-                self._clock,
-            ),
+            dispatcher=self._build_dispatcher(service),
             retry_budget=self._build_retry_budget(),
             work_estimator=self._work_estimator,
             request_ages=self._request_ages,
@@ -159,6 +159,19 @@
             clock=self._clock,
         )
 
+    def _build_dispatcher(self, service: str) -> SlotDispatcher:
+        local = Dispatcher(
+            partial(self._candidates, service),
+            self.placement,
+            self._peers.demand,
+            self._clock,
+        )
+        if self.grants is None:
+            return local
+        return GrantDispatcher(
+            service, local, self.grants, self._peers.demand, self._clock
+        )
+
     def _tokens_per_event(self, service: str) -> int:
         configuration = self._state.configuration
         known = configuration and configuration.services.get(service)
--- a/azurewick/entry/slot_shares.py
+++ b/azurewick/entry/slot_shares.py
@@ -63,13 +63,28 @@
             if counts is not None and index != own_index:
                 self._peers_in_flight.update(counts)
 
+    @property
+    def has_silent(self) -> bool:
+        """Return whether a peer is silent."""
+        return bool(self._silent_indexes)
+
+    def silent_share(self, total: int, backend: str) -> int:
+        """Return the slots that silent peers may be using."""
+        start = crc32(backend.encode()) % self._instance_count
+        return sum(
+            self._share(index, start, total) for index in self._silent_indexes
+        )
+
+    def used(self, total: int, backend: str, own_used: int) -> int:
+        """Return what counts against available(): this instance's requests."""
+        return own_used
+
     def unused(self, total: int, backend: str) -> int:
         """Return how many of a server's slots the peers neither use nor need.
 
         The slots that this instance uses itself count as unused.
         """
-        start = crc32(backend.encode()) % self._instance_count
-        return total - self._in_flight_of_peers(start, total, backend)
+        return total - self._in_flight_of_peers(total, backend)
 
     def available(self, total: int, backend: str, own_used: int = 0) -> int:
         """Return how many of a backend server's slots this instance may use.
@@ -85,7 +100,7 @@
         are spread over the instances.
         """
         start = crc32(backend.encode()) % self._instance_count
-        in_flight = self._in_flight_of_peers(start, total, backend)
+        in_flight = self._in_flight_of_peers(total, backend)
         unavailable = in_flight + self._reserved(start, total, backend)
         own_share = self._share(self._own_index, start, total)
         own_free = min(own_share, max(0, total + OVERCOMMIT_SLOTS - in_flight))
@@ -94,10 +109,10 @@
             return max(own_free, own_used)
         return max(own_free, free)
 
-    def _in_flight_of_peers(self, start: int, total: int, backend: str) -> int:
+    def _in_flight_of_peers(self, total: int, backend: str) -> int:
         """Return the peers' requests; silent ones may use their shares."""
-        return self._peers_in_flight[backend] + sum(
-            self._share(index, start, total) for index in self._silent_indexes
+        return self._peers_in_flight[backend] + self.silent_share(
+            total, backend
         )
 
     def _share(self, index: int, start: int, total: int) -> int:
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -106,6 +106,8 @@
     # First and last port for the processes of the scheduler. The first one
     # serves the metrics; the second one receives messages of peers.
     port_range: tuple[Port, Port]
+    # Unset to compare with requests that are placed without a broker.
+    uses_slot_grants: bool = True
 
 
 def parse_node_file(text: str) -> EntrySettings:
@@ -151,6 +153,7 @@
         cold_overage=bounds.cold_overage,
         cold_allowance=bounds.cold_slack,
         follows_evacuations=bounds.evacuate_ms is not None,
+        uses_slot_grants=node.uses_slot_grants,
     )
 
 
