--- a/azurewick/entry/broker_client.py
+++ b/azurewick/entry/broker_client.py
@@ -28,12 +28,13 @@
 _LOGGER = getLogger(__name__)
 
 # Time in which a broker has to acknowledge an ask, in the own region and in
-# another. The ask is sent a second time after half of it, as a datagram is
-# lost now and then.
+# another. The ask is sent ASK_SENDS times within it, as a datagram is lost now
+# and then.
 ACK_TIMEOUT_S = 0.06
 REMOTE_ACK_TIMEOUT_S = 0.1
-# Without an acknowledgement the group's requests use the own shares for this
-# long.
+ASK_SENDS = 3
+# If the next broker doesn't acknowledge either, the group's requests use the
+# own shares for this long.
 FALLBACK_S = 1.0
 # A waiting ask is sent again after this time, so that a lost grant or a new
 # broker costs no more than that.
@@ -61,8 +62,9 @@
     """Request that waits for a grant.
 
     groups are those that can still be asked. ask_by_s is when the request's
-    time to wait ends, due_s the time of the next check, and ack_by_s the time
-    until which an acknowledgement counts. wait_s is the predicted wait.
+    time to wait ends, due_s the time of the next check, asked_s when it was
+    first sent to this broker, and ack_by_s the time until which an
+    acknowledgement counts. wait_s is the predicted wait.
     """
 
     key: RequestKey
@@ -74,10 +76,12 @@
     broker: str = ""
     excluded: list[str] = field(default_factory=list)
     is_acknowledged: bool = False
+    asked_s: float = 0.0
     ack_by_s: float = 0.0
     due_s: float = 0.0
     wait_s: float = 0.0
     refused_wait_s: float | None = None
+    has_failed_over: bool = False
 
 
 class Brokers(Protocol):
@@ -86,6 +90,12 @@
     def broker(self, group: Group, now_s: float) -> str | None:
         """Return the broker of a group; None without a candidate."""
 
+    def suspect(self, name: str, now_s: float) -> None:
+        """Elect other instances for a time."""
+
+    def trust(self, name: str) -> None:
+        """Record that a broker answers."""
+
 
 class AskedEngines(Protocol):
     """Engines as the asker knows them."""
@@ -128,6 +138,8 @@
         self._held: dict[str, dict[int, str]] = {}
         self._held_servers: dict[int, str] = {}
         self._fallback_until_s: dict[Group, float] = {}
+        # Times of the last answers, by broker.
+        self._answered_s: dict[str, float] = {}
         self._due: list[tuple[float, int]] = []
         self._timer_at_s = inf
 
@@ -199,6 +211,8 @@
         key = message.key
         if key.incarnation != self._incarnation:
             return
+        self._answered_s[sender] = now_s
+        self._brokers.trust(sender)
         pending = self._pending.get(key.number)
         if isinstance(message, Grant):
             self._handle_grant(message, pending, sender, now_s)
@@ -207,6 +221,7 @@
             return
         if isinstance(message, Queued):
             pending.is_acknowledged = True
+            pending.has_failed_over = False
             pending.wait_s = message.wait_s
         elif isinstance(message, Refusal):
             self._handle_refusal(message, pending, now_s)
@@ -233,19 +248,42 @@
             self._ask_group(pending, pending.group, now_s)
         elif now_s < pending.ack_by_s:
             self._send_ask(pending, now_s)
-            self._schedule(pending, pending.ack_by_s, now_s)
+            pause_s = (pending.ack_by_s - pending.asked_s) / ASK_SENDS
+            self._schedule(
+                pending, min(now_s + pause_s, pending.ack_by_s), now_s
+            )
         elif now_s - pending.due_s > MAX_TIMER_DELAY_S:
             pending.ack_by_s = now_s + LATE_GRACE_S
             self._schedule(pending, pending.ack_by_s, now_s)
         else:
+            self._handle_unanswered(pending, now_s)
+
+    def _handle_unanswered(self, pending: PendingAsk, now_s: float) -> None:
+        """Ask again, ask the next broker, or use the own shares."""
+        group = pending.group
+        assert group is not None
+        if self._answered_s.get(pending.broker, -inf) > pending.asked_s:
+            # It answers others: the datagrams of this request got lost.
+            self._ask_group(pending, group, now_s)
+            return
+        if self._brokers.broker(group, now_s) == pending.broker:
+            _LOGGER.warning(
+                "slot broker does not answer",
+                extra={"group": str(group), "broker": pending.broker},
+            )
+            self._brokers.suspect(pending.broker, now_s)
+        if pending.has_failed_over:
             self._fall_back(pending, now_s)
+            return
+        pending.has_failed_over = True
+        self._ask_group(pending, group, now_s)
 
     def _fall_back(self, pending: PendingAsk, now_s: float) -> None:
         group = pending.group
         assert group is not None
         if not self.is_in_fallback(group, now_s):
             _LOGGER.warning(
-                "slot broker does not answer, own shares are used",
+                "no slot broker answers, own shares are used",
                 extra={"group": str(group), "broker": pending.broker},
             )
         self._fallback_until_s[group] = now_s + FALLBACK_S
@@ -300,8 +338,9 @@
             if self._engines.is_own_region(group)
             else REMOTE_ACK_TIMEOUT_S
         )
+        pending.asked_s = now_s
         pending.ack_by_s = now_s + timeout_s
-        self._schedule(pending, now_s + timeout_s / 2, now_s)
+        self._schedule(pending, now_s + timeout_s / ASK_SENDS, now_s)
         self._send_ask(pending, now_s)
 
     def _ask_own_broker(self, pending: PendingAsk, now_s: float) -> None:
--- a/azurewick/entry/broker_election.py
+++ b/azurewick/entry/broker_election.py
@@ -20,6 +20,12 @@
 # An elected broker is reused for this long; the reports that decide the
 # election arrive every 0.2 s.
 ELECTION_TTL_S = 0.1
+# Time for which a broker that doesn't answer is not elected; it doubles each
+# time. A longer first one would leave an asker that has lost some datagrams
+# with another broker than the others, and engines with too many requests.
+SUSPECTED_S = 0.3
+MAX_SUSPECTED_S = 2.4
+MAX_DOUBLINGS = 10
 # Scores kept: instances times groups of a large fleet.
 CACHED_SCORES = 16_384
 
@@ -88,6 +94,10 @@
         self._peers = peers
         self._peer_regions: Mapping[str, str] | None = None
         self._elected: dict[Group, tuple[str | None, float]] = {}
+        # Brokers that don't answer this instance: how often in a row, and
+        # until when others are elected.
+        self._suspicions: dict[str, int] = {}
+        self._suspected_until_s: dict[str, float] = {}
 
     @property
     def knows_peers(self) -> bool:
@@ -112,6 +122,24 @@
             for group, (broker, _) in self._elected.items()
         }
 
+    def suspect(self, name: str, now_s: float) -> None:
+        """Elect other instances for a time, as a broker doesn't answer.
+
+        A broker that has ended counts as live until its reports have been
+        missing for 1 or 2 s. All its askers notice it before, and elect the
+        same next one.
+        """
+        times = self._suspicions.get(name, 0)
+        self._suspicions[name] = times + 1
+        self._suspected_until_s[name] = now_s + min(
+            MAX_SUSPECTED_S, SUSPECTED_S * 2 ** min(times, MAX_DOUBLINGS)
+        )
+        self.expire()
+
+    def trust(self, name: str) -> None:
+        """Record that a broker answers."""
+        self._suspicions.pop(name, None)
+
     def broker(self, group: Group, now_s: float) -> str | None:
         """Return the broker of a group; None without a candidate.
 
@@ -125,6 +153,7 @@
             name: share
             for name, share in self._peers.processor_shares(now_s).items()
             if name in (self._peer_regions or {})
+            and now_s >= self._suspected_until_s.get(name, now_s)
         }
         shares[self._own_name] = self.own_share
         near = {
--- a/azurewick/entry/slot_broker.py
+++ b/azurewick/entry/slot_broker.py
@@ -45,6 +45,9 @@
 # Decisions are remembered for this long: an ask may arrive again after its
 # request has ended.
 DECISION_TTL_S = 2.0
+# The capacity of a group is computed over all its engines and changes over
+# seconds.
+CAPACITY_TTL_S = 0.1
 # Without asks for this long, an instance stops counting slots.
 IDLE_AFTER_S = 5.0
 # Bound of the time for which one instance's failure keeps the others from a
@@ -67,10 +70,15 @@
 
 @dataclass(slots=True)
 class _GroupQueue:
-    """Requests that wait for an engine of a group."""
+    """Requests that wait for an engine of a group.
+
+    capacities holds the capacity and the time of its computation by version,
+    as on_new_version.
+    """
 
     queue: RequestQueue[RequestKey] = field(default_factory=RequestQueue)
     rates: ArrivalRates = field(default_factory=ArrivalRates)
+    capacities: dict[bool, tuple[float, float]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -384,12 +392,23 @@
             return 0.0
         return predict_wait_s(
             work_ahead_s,
-            self._placement.capacity(
-                self._usable(group, waiter.demand, now_s), now_s
-            ),
+            self._capacity(group, queue, waiter.demand, now_s),
             queue.rates.more_urgent_per_s(waiter.urgency, now_s),
         )
 
+    def _capacity(
+        self, group: Group, queue: _GroupQueue, demand: Demand, now_s: float
+    ) -> float:
+        """Return the nominal work a second of a group's engines."""
+        known = queue.capacities.get(demand.on_new_version)
+        if known is None or now_s - known[1] >= CAPACITY_TTL_S:
+            capacity = self._placement.capacity(
+                self._usable(group, demand, now_s), now_s
+            )
+            known = (capacity, now_s)
+            queue.capacities[demand.on_new_version] = known
+        return known[0]
+
     def _drop_waiting(
         self, is_dropped: Callable[[RequestKey, _Waiting], bool]
     ) -> None:
--- a/tests/entry/sharing_model.py
+++ b/tests/entry/sharing_model.py
@@ -101,7 +101,12 @@
     load_factor: float = 1.8
     arrival_spread: float = 0.5
     report_interval_s: float = 0.2
+    reports_start_s: float = 0.0
     duration_s: float = 12.0
+    # Bounds of the delay of a datagram, and the share that is lost.
+    min_delay_s: float = 0.0
+    max_delay_s: float = 0.0
+    loss: float = 0.0
 
 
 @dataclass(eq=False)
@@ -121,6 +126,7 @@
     slowdown: float
     running: int = 0
     waiting: deque[tuple[int, Request]] = field(default_factory=deque)
+    crowded_since_s: float = 0.0
 
 
 @dataclass
@@ -129,6 +135,8 @@
 
     offered_value is the value of all requests, and earned_value that of the
     answers less the penalties of requests that were refused twice.
+    crowded_s is the time in which engines held more requests than slots,
+    summed up over the engines.
     """
 
     earned_value: float = 0.0
@@ -137,6 +145,7 @@
     served: int = 0
     refused: int = 0
     refused_again: int = 0
+    crowded_s: float = 0.0
     engine_waits_s: list[float] = field(default_factory=list)
     served_by_instance: dict[int, int] = field(default_factory=dict)
     arrivals_by_instance: dict[int, int] = field(default_factory=dict)
@@ -189,6 +198,7 @@
         self._random = Random(seed)
         self._events: list[tuple[float, int, object]] = []
         self._sequence = count()
+        self.now_s = 0.0
         self.outcome = Outcome()
         speeds = (0.6, 1.0, 2.0)
         self._engines = [
@@ -196,8 +206,7 @@
             for index in range(load.engines)
         ]
         self._instances = [
-            Instance(index, load, self._random)
-            for index in range(load.instances)
+            self._build_instance(index) for index in range(load.instances)
         ]
         for instance in self._instances:
             instance.backends = [
@@ -212,7 +221,10 @@
         """Simulate the whole load and return its outcome."""
         self._plan_arrivals()
         for instance in self._instances:
-            first_s = self._random.random() * self._load.report_interval_s
+            first_s = (
+                self._load.reports_start_s
+                + self._random.random() * self._load.report_interval_s
+            )
             self._schedule(
                 first_s,
                 lambda now_s, sender=instance: self._send_report(
@@ -221,10 +233,13 @@
             )
         end_s = self._load.duration_s + 20.0
         while self._events and self._events[0][0] < end_s:
-            now_s, _, run = heapq.heappop(self._events)
-            run(now_s)
+            self.now_s, _, run = heapq.heappop(self._events)
+            run(self.now_s)
         return self.outcome
 
+    def _build_instance(self, index: int) -> Instance:
+        return Instance(index, self._load, self._random)
+
     def _schedule(self, time_s, run) -> None:
         heapq.heappush(self._events, (time_s, next(self._sequence), run))
 
@@ -275,18 +290,46 @@
         report = sender.build_report(now_s)
         for index, instance in enumerate(self._instances):
             if instance is not sender:
-                instance.peers.record_report(report, now_s)
-                self._assign_slots(index, now_s)
+                self._transmit(
+                    sender.name,
+                    instance.name,
+                    lambda at_s, index=index: self._receive_report(
+                        index, report, at_s
+                    ),
+                )
         self._schedule(
             now_s + self._load.report_interval_s,
             lambda at_s: self._send_report(sender, at_s),
         )
 
+    def _transmit(self, sender: str, target: str, receive) -> None:
+        """Pass a datagram on, at once without a delay."""
+        load = self._load
+        if load.loss and self._random.random() < load.loss:
+            return
+        if not load.max_delay_s:
+            receive(self.now_s)
+            return
+        delay_s = self._random.uniform(load.min_delay_s, load.max_delay_s)
+        self._schedule(self.now_s + delay_s, receive)
+
+    def _receive_report(self, index, report: PeerReport, now_s: float) -> None:
+        self._instances[index].peers.record_report(report, now_s)
+        self._assign_slots(index, now_s)
+
     def _arrive(self, index: int, request: Request, now_s: float) -> None:
+        instance = self._instances[index]
+        demand = request.demand
+        instance.peers.demand.add(demand.work.total_s, now_s)
+        self._wait(index, request, wait_budget_s(demand, now_s), now_s)
+
+    def _wait(
+        self, index: int, request: Request, budget_s: float, now_s: float
+    ) -> None:
+        """Queue a request at its instance, or refuse it."""
         instance = self._instances[index]
         demand = request.demand
         urgency = demand.urgency(now_s)
-        budget_s = wait_budget_s(demand, now_s)
         work_ahead_s = instance.queue.work_ahead_s(urgency)
         wait_s = predict_wait_s(
             work_ahead_s,
@@ -294,7 +337,6 @@
             instance.rates.more_urgent_per_s(urgency, now_s),
         )
         instance.rates.add(urgency, demand.work.total_s, now_s)
-        instance.peers.demand.add(demand.work.total_s, now_s)
         if wait_s > budget_s:
             self._refuse(request, now_s)
             return
@@ -340,13 +382,20 @@
                 return
             backend.in_flight += 1
             instance.queue.remove(waiter)
-            engine_index = int(backend.name[1:])
-            engine = self._engines[engine_index]
-            request = replace(waiter.payload, sent_s=now_s)
-            if engine.running < engine.slots:
-                self._start(engine_index, index, request, now_s)
-            else:
-                engine.waiting.append((index, request))
+            self._send_to_engine(index, backend, waiter.payload, now_s)
+
+    def _send_to_engine(
+        self, index: int, backend: Backend, request: Request, now_s: float
+    ) -> None:
+        engine_index = int(backend.name[1:])
+        engine = self._engines[engine_index]
+        request = replace(request, sent_s=now_s)
+        if engine.running < engine.slots:
+            self._start(engine_index, index, request, now_s)
+            return
+        if not engine.waiting:
+            engine.crowded_since_s = now_s
+        engine.waiting.append((index, request))
 
     def _start(
         self, engine_index: int, index: int, request: Request, now_s: float
@@ -378,5 +427,10 @@
         if engine.waiting:
             owner_index, request = engine.waiting.popleft()
             self._start(engine_index, owner_index, request, now_s)
-        self._instances[index].backends[engine_index].in_flight -= 1
-        self._assign_slots(index, now_s)
+            if not engine.waiting:
+                self.outcome.crowded_s += now_s - engine.crowded_since_s
+        self._release(index, self._instances[index].backends[engine_index])
+
+    def _release(self, index: int, backend: Backend) -> None:
+        backend.in_flight -= 1
+        self._assign_slots(index, self.now_s)
