Test slot grants with datagrams and whole instances; repeat asks less often

An acknowledged ask was sent again at each check for an acknowledgement, every 20 ms, instead of every 0.25 s; the test with whole instances showed it. An instance reported a processor share of 0 after the pauses of its start; the median of the lateness counts now. The asker's and the broker's modules are split by job.

--- a/azurewick/entry/broker_client.py
+++ b/azurewick/entry/broker_client.py
@@ -4,12 +4,8 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-from dataclasses import dataclass
-from dataclasses import field
-import heapq
 from logging import getLogger
 from math import inf
-from typing import Protocol
 
 from azurewick.entry.backends import Backend
 from azurewick.entry.broker_election import Group
@@ -23,6 +19,12 @@
 from azurewick.entry.broker_messages import Release
 from azurewick.entry.broker_messages import RequestKey
 from azurewick.entry.broker_messages import Withdrawal
+from azurewick.entry.pending_asks import AskedEngines
+from azurewick.entry.pending_asks import Brokers
+from azurewick.entry.pending_asks import GrantResult
+from azurewick.entry.pending_asks import HeldGrants
+from azurewick.entry.pending_asks import PendingAsk
+from azurewick.entry.pending_asks import PlannedChecks
 from azurewick.entry.request_queue import Demand
 
 _LOGGER = getLogger(__name__)
@@ -49,64 +51,6 @@
 MAX_UNUSABLE_GRANTS = 3
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class GrantResult:
-    """End of an ask: a server, a refusal, or neither for the own shares."""
-
-    backend: Backend | None = None
-    refused_wait_s: float | None = None
-
-
-@dataclass(eq=False, kw_only=True, slots=True)
-class PendingAsk:
-    """Request that waits for a grant.
-
-    groups are those that can still be asked. ask_by_s is when the request's
-    time to wait ends, due_s the time of the next check, asked_s when it was
-    first sent to this broker, and ack_by_s the time until which an
-    acknowledgement counts. wait_s is the predicted wait.
-    """
-
-    key: RequestKey
-    demand: Demand
-    groups: list[Group]
-    ask_by_s: float
-    on_result: Callable[[GrantResult], None]
-    group: Group | None = None
-    broker: str = ""
-    excluded: list[str] = field(default_factory=list)
-    is_acknowledged: bool = False
-    asked_s: float = 0.0
-    ack_by_s: float = 0.0
-    due_s: float = 0.0
-    wait_s: float = 0.0
-    refused_wait_s: float | None = None
-    has_failed_over: bool = False
-
-
-class Brokers(Protocol):
-    """Brokers of the groups."""
-
-    def broker(self, group: Group, now_s: float) -> str | None:
-        """Return the broker of a group; None without a candidate."""
-
-    def suspect(self, name: str, now_s: float) -> None:
-        """Elect other instances for a time."""
-
-    def trust(self, name: str) -> None:
-        """Record that a broker answers."""
-
-
-class AskedEngines(Protocol):
-    """Engines as the asker knows them."""
-
-    def serving(self, service: str, demand: Demand) -> Sequence[Backend]:
-        """Return the engines of a service that may get a request."""
-
-    def is_own_region(self, group: Group) -> bool:
-        """Return whether a group is in the own region."""
-
-
 class BrokerClient:
     """Asks brokers for slots.
 
@@ -130,18 +74,14 @@
         self._brokers = brokers
         self._engines = engines
         self._send = send
-        self._set_timer = set_timer
         self._count = count
         self._number = 0
         self._pending: dict[int, PendingAsk] = {}
-        # Brokers of the granted slots that are in use, by server and number.
-        self._held: dict[str, dict[int, str]] = {}
-        self._held_servers: dict[int, str] = {}
+        self._held = HeldGrants()
         self._fallback_until_s: dict[Group, float] = {}
         # Times of the last answers, by broker.
         self._answered_s: dict[str, float] = {}
-        self._due: list[tuple[float, int]] = []
-        self._timer_at_s = inf
+        self._checks = PlannedChecks(set_timer)
 
     @property
     def waiting(self) -> int:
@@ -183,18 +123,11 @@
             self._withdraw_at_broker(pending)
 
     def release(self, backend: Backend, now_s: float) -> None:
-        """Return a granted slot of a server, if there is one.
-
-        Which of the grants of a server it is doesn't matter.
-        """
-        held = self._held.get(backend.name)
-        if not held:
+        """Return a granted slot of a server, if there is one."""
+        held = self._held.pop(backend.name)
+        if held is None:
             return
-        number = next(iter(held))
-        broker = held.pop(number)
-        del self._held_servers[number]
-        if not held:
-            del self._held[backend.name]
+        number, broker = held
         self._send(
             broker,
             Release(
@@ -234,18 +167,20 @@
 
     def on_timer(self, now_s: float) -> None:
         """Check the asks that are due; one timer serves all of them."""
-        self._timer_at_s = inf
-        while self._due and self._due[0][0] <= now_s:
-            due_s, number = heapq.heappop(self._due)
+        for due_s, number in self._checks.pop_due(now_s):
             pending = self._pending.get(number)
             if pending is not None and pending.due_s == due_s:
                 self._check(pending, now_s)
-        self._arm(now_s)
+        self._checks.arm(now_s)
 
     def _check(self, pending: PendingAsk, now_s: float) -> None:
         if pending.is_acknowledged:
             assert pending.group is not None
-            self._ask_group(pending, pending.group, now_s)
+            repeat_at_s = pending.asked_s + REPEAT_INTERVAL_S
+            if now_s < repeat_at_s:
+                self._schedule(pending, repeat_at_s, now_s)
+            else:
+                self._ask_group(pending, pending.group, now_s)
         elif now_s < pending.ack_by_s:
             self._send_ask(pending, now_s)
             pause_s = (pending.ack_by_s - pending.asked_s) / ASK_SENDS
@@ -346,6 +281,7 @@
     def _ask_own_broker(self, pending: PendingAsk, now_s: float) -> None:
         """Ask the broker in this process, which answers before it returns."""
         key = pending.key
+        pending.asked_s = now_s
         self._schedule(pending, now_s + REPEAT_INTERVAL_S, now_s)
         self._send_ask(pending, now_s)
         is_unanswered = (
@@ -357,24 +293,14 @@
 
     def _send_ask(self, pending: PendingAsk, now_s: float) -> None:
         assert pending.group is not None
-        excluded = [
-            *pending.excluded,
-            *sorted(pending.demand.excluded),
-            *(
-                backend.name
-                for backend in self._engines.serving(
-                    pending.group.service, pending.demand
-                )
-                if not backend.is_available(now_s)
-            ),
-        ]
+        serving = self._engines.serving(pending.group.service, pending.demand)
         self._send(
             pending.broker,
             Ask(
                 key=pending.key,
                 group=pending.group,
                 demand=pending.demand,
-                excluded=tuple(dict.fromkeys(excluded)),
+                excluded=pending.excluded_servers(serving, now_s),
             ),
         )
 
@@ -387,8 +313,7 @@
     ) -> None:
         number = grant.key.number
         if pending is None:
-            held = self._held.get(self._held_servers.get(number, ""), {})
-            if held.get(number) != sender:
+            if self._held.broker(number) != sender:
                 # It came too late, after a withdrawal.
                 self._send(sender, Release(key=grant.key, server=grant.server))
             return
@@ -397,8 +322,7 @@
             self._handle_unusable(pending, grant, sender, now_s)
             return
         backend.in_flight += 1
-        self._held.setdefault(backend.name, {})[number] = sender
-        self._held_servers[number] = backend.name
+        self._held.add(number, backend.name, sender)
         self._finish(pending, GrantResult(backend=backend), "granted")
 
     def _find_usable(
@@ -463,13 +387,8 @@
         self, pending: PendingAsk, due_s: float, now_s: float
     ) -> None:
         pending.due_s = due_s
-        heapq.heappush(self._due, (due_s, pending.key.number))
-        self._arm(now_s)
-
-    def _arm(self, now_s: float) -> None:
-        if self._due and self._due[0][0] < self._timer_at_s:
-            self._timer_at_s = self._due[0][0]
-            self._set_timer(max(0.0, self._timer_at_s - now_s))
+        self._checks.add(due_s, pending.key.number)
+        self._checks.arm(now_s)
 
     def _next_key(self) -> RequestKey:
         self._number += 1
--- a/azurewick/entry/broker_messages.py
+++ b/azurewick/entry/broker_messages.py
@@ -27,8 +27,9 @@
 MESSAGE_MARK = b"\x01"
 # Bound of an ask; excluded servers that don't fit are left out.
 MAX_ASK_BYTES = 400
-# Larger datagrams aren't decoded.
-MAX_MESSAGE_BYTES = 1_200
+# Larger datagrams aren't decoded. Long names of customers and parts of prompts
+# may exceed the bound of an ask.
+MAX_MESSAGE_BYTES = 8_192
 MAX_EXCLUDED = 8
 # Longest time and largest number accepted from a peer.
 MAX_TIME_S = 86_400.0
--- a/azurewick/entry/grant_dispatcher.py
+++ b/azurewick/entry/grant_dispatcher.py
@@ -9,10 +9,10 @@
 from functools import partial
 
 from azurewick.entry.backends import Backend
-from azurewick.entry.broker_client import GrantResult
 from azurewick.entry.dispatcher import Dispatcher
 from azurewick.entry.dispatcher import overloaded_error
 from azurewick.entry.dispatcher import wait_budget_s
+from azurewick.entry.pending_asks import GrantResult
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.slot_grants import SlotGrants
 from azurewick.util.decaying_rate import DecayingRate
--- a/azurewick/entry/processor_share.py
+++ b/azurewick/entry/processor_share.py
@@ -4,18 +4,21 @@
 
 import asyncio
 from asyncio import get_running_loop
+from collections import deque
 from collections.abc import Callable
 from logging import getLogger
 from math import inf
+from statistics import median
 
 _LOGGER = getLogger(__name__)
 
 SAMPLE_INTERVAL_S = 0.1
-# Weight of the newest sample in the moving average of the lateness.
-LATENESS_SMOOTHING = 0.1
+# The median of so many samples counts: a single pause, as at the start, is no
+# overload.
+SAMPLES = 15
 # Lateness up to which an instance reports a processor share. An instance with
 # a small part of a core is up to 10 ms late without being overloaded.
-SHARES_BY_LATENESS = ((0.003, 1.0), (0.008, 0.5), (0.02, 0.25))
+SHARES_BY_LATENESS = ((0.004, 1.0), (0.012, 0.5), (0.03, 0.25))
 # A higher share is reported only after the lateness has been as low for this
 # long: each change may move brokers to other instances.
 RISE_AFTER_S = 5.0
@@ -30,7 +33,7 @@
     def __init__(self, on_change: Callable[[float], None]) -> None:
         self.value = SHARES_BY_LATENESS[0][1]
         self._on_change = on_change
-        self._lateness_s = 0.0
+        self._samples_s: deque[float] = deque(maxlen=SAMPLES)
         self._higher_since_s = inf
         self._is_stopping = False
 
@@ -43,10 +46,10 @@
         """Add a measured lateness of the event loop."""
         if self._is_stopping:
             return
-        self._lateness_s += LATENESS_SMOOTHING * (
-            max(0.0, lateness_s) - self._lateness_s
-        )
-        share = _share(self._lateness_s)
+        self._samples_s.append(lateness_s)
+        if len(self._samples_s) < SAMPLES:
+            return
+        share = _share(median(self._samples_s))
         if share <= self.value:
             self._higher_since_s = inf
             self._set(share)
@@ -73,7 +76,9 @@
             "processor share for elections changed",
             extra={
                 "share": share,
-                "lateness_ms": round(self._lateness_s * 1000, 1),
+                "lateness_ms": [
+                    round(lateness_s * 1000) for lateness_s in self._samples_s
+                ],
             },
         )
         self._on_change(share)
--- a/azurewick/entry/slot_broker.py
+++ b/azurewick/entry/slot_broker.py
@@ -33,6 +33,7 @@
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_queue import RequestQueue
 from azurewick.entry.request_queue import Waiter
+from azurewick.entry.shared_ejections import SharedEjections
 
 _LOGGER = getLogger(__name__)
 
@@ -50,9 +51,6 @@
 CAPACITY_TTL_S = 0.1
 # Without asks for this long, an instance stops counting slots.
 IDLE_AFTER_S = 5.0
-# Bound of the time for which one instance's failure keeps the others from a
-# server. It is the first ejection's time of an instance itself.
-MAX_SHARED_EJECTION_S = 1.0
 
 
 class EngineGroups(Protocol):
@@ -117,8 +115,7 @@
         # Time and refusal of each request that has ended; no refusal if it
         # was released or withdrawn.
         self._decided: dict[RequestKey, tuple[float, Refusal | None]] = {}
-        # Servers that failed for one instance, with the end of their ejection.
-        self._ejected_until_s: dict[str, float] = {}
+        self._ejections = SharedEjections()
         self._is_active = False
         self._asked_s = -inf
         self._swept_s = -inf
@@ -272,7 +269,7 @@
 
     def _handle_release(self, release: Release, now_s: float) -> None:
         if release.unavailable_s > 0:
-            self._eject(release, now_s)
+            self._ejections.add(release, now_s)
         key = release.key
         if key.asker != self._own_name:
             if key in self._decided or not self._counts.release(
@@ -293,19 +290,6 @@
         if server is not None:
             self.assign(now_s)
 
-    def _eject(self, release: Release, now_s: float) -> None:
-        unavailable_s = min(MAX_SHARED_EJECTION_S, release.unavailable_s)
-        if now_s >= self._ejected_until_s.get(release.server, -inf):
-            _LOGGER.info(
-                "no slots are granted at a server that an asker gave up",
-                extra={
-                    "backend_server": release.server,
-                    "asker": release.key.asker,
-                    "for_s": round(unavailable_s, 2),
-                },
-            )
-        self._ejected_until_s[release.server] = now_s + unavailable_s
-
     def _assign_group(
         self, group: Group, queue: _GroupQueue, now_s: float
     ) -> None:
@@ -369,19 +353,9 @@
     def _usable(
         self, group: Group, demand: Demand, now_s: float
     ) -> Sequence[Backend]:
-        candidates = self._groups.candidates(group, demand)
-        if not self._ejected_until_s:
-            return candidates
-        self._ejected_until_s = {
-            name: until_s
-            for name, until_s in self._ejected_until_s.items()
-            if now_s < until_s
-        }
-        return [
-            backend
-            for backend in candidates
-            if backend.name not in self._ejected_until_s
-        ]
+        return self._ejections.filter(
+            self._groups.candidates(group, demand), now_s
+        )
 
     def _predict_wait_s(
         self, group: Group, waiter: Waiter[RequestKey], now_s: float
--- a/azurewick/entry/slot_grants.py
+++ b/azurewick/entry/slot_grants.py
@@ -214,7 +214,9 @@
         shares = self._peers.slot_shares(now_s)
         for group in groups:
             if self.election.broker(group, now_s) == self._own_name:
-                if self.broker.has_free_slot(group, demand, now_s):
+                is_free = self.broker.has_free_slot(group, demand, now_s)
+                self._start_sweeps()
+                if is_free:
                     return True
                 continue
             for backend in self._groups.candidates(group, demand):
--- a/tests/entry/grants_model.py
+++ b/tests/entry/grants_model.py
@@ -9,7 +9,6 @@
 from collections import Counter
 from dataclasses import replace
 
-from azurewick.entry.broker_client import GrantResult
 from azurewick.entry.broker_election import BrokerElection
 from azurewick.entry.broker_election import Group
 from azurewick.entry.broker_messages import decode_message
@@ -17,6 +16,7 @@
 from azurewick.entry.broker_messages import Message
 from azurewick.entry.dispatcher import wait_budget_s
 from azurewick.entry.peers import PeerReport
+from azurewick.entry.pending_asks import GrantResult
 from azurewick.entry.slot_grants import GroupTable
 from azurewick.entry.slot_grants import SlotGrants
 from tests.entry.sharing_model import Instance
