Prefer the own shares to another region; find lost grants by the newest

Without a candidate for the own region's broker a request went to another region's engines instead of the own shares. A report that shows fewer requests than grants now drops the newest grants: a lost grant is recent, and its ask will be repeated.

--- a/azurewick/entry/broker_client.py
+++ b/azurewick/entry/broker_client.py
@@ -233,8 +233,12 @@
         while pending.groups:
             group = pending.groups.pop(0)
             is_own_region = self._engines.is_own_region(group)
-            if self.is_in_fallback(group, now_s):
+            if (
+                self.is_in_fallback(group, now_s)
+                or self._brokers.broker(group, now_s) is None
+            ):
                 if is_own_region:
+                    # The own shares come before another region's engines.
                     break
                 continue
             if (
@@ -242,9 +246,8 @@
                 and pending.ask_by_s - now_s < MIN_REMOTE_BUDGET_S
             ):
                 continue
-            if self._brokers.broker(group, now_s) is not None:
-                self._ask_group(pending, group, now_s)
-                return
+            self._ask_group(pending, group, now_s)
+            return
         if pending.refused_wait_s is None:
             self._finish(pending, GrantResult(), "fallback")
         else:
--- a/azurewick/entry/fleet_counts.py
+++ b/azurewick/entry/fleet_counts.py
@@ -131,7 +131,9 @@
                 if now_s - asker.grants[number][1] > settle_s
             ]
             before = self._totals[server]
-            for number in settled[: max(0, len(settled) - count)]:
+            # The newest ones: a lost grant is found by the first report after
+            # it, and its ask will be repeated.
+            for number in settled[count:]:
                 del asker.grants[number]
                 self._totals[server] -= 1
                 numbers.remove(number)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,6 +36,13 @@
         self.assertIn("zone", caught.exception.message)
         self.assertIn("platform.addr", caught.exception.message)
 
+    def test_slot_grants_can_be_switched_off(self):
+        self.assertTrue(parse_node_file(build_node_text()).uses_slot_grants)
+        text = build_node_text(uses_slot_grants=False)
+        self.assertFalse(parse_node_file(text).uses_slot_grants)
+        with self.assertRaises(AzurewickError):
+            parse_node_file(build_node_text(uses_slot_grants=[]))
+
     def test_odd_numbers_are_invalid(self):
         for changes in (
             {"limits": {"max_fds": "9" * 400}},
