Count slots correctly when a report overtakes a release

A report with fewer requests than grants dropped one of the grants. If it was the wrong one, the release of the other freed a second slot. Such grants now count as missing until the release or the repeated ask tells which one it is, or a second report confirms it.

--- a/azurewick/entry/fleet_counts.py
+++ b/azurewick/entry/fleet_counts.py
@@ -36,12 +36,15 @@
 
     grants holds the server and the time of each grant. unexplained counts, by
     server, the reported requests that aren't in grants: those without a grant
-    and those that another broker has granted.
+    and those that another broker has granted. missing counts the grants that
+    the latest report should count but doesn't: a grant or a release was lost,
+    or a release is on its way. Which one of several it is isn't known yet.
     """
 
     incarnation: int
     grants: dict[int, tuple[str, float]] = field(default_factory=dict)
     unexplained: Counter[str] = field(default_factory=Counter)
+    missing: Counter[str] = field(default_factory=Counter)
 
 
 class FleetCounts:
@@ -82,7 +85,25 @@
         if asker is None or asker.incarnation != key.incarnation:
             return None
         grant = asker.grants.get(key.number)
-        return grant and grant[0]
+        return None if grant is None else grant[0]
+
+    def renew_grant(self, key: RequestKey, now_s: float) -> str | None:
+        """Return the server of a grant that is to be sent again.
+
+        It counts as granted now: a report that is on its way doesn't count
+        it yet. Returns None if the latest report shows that a grant is
+        missing: it is this one, and its slot has been freed.
+        """
+        server = self.granted_server(key)
+        if server is None:
+            return None
+        asker = self._askers[key.asker]
+        if asker.missing[server] > 0:
+            del asker.grants[key.number]
+            asker.missing[server] -= 1
+            return None
+        asker.grants[key.number] = (server, now_s)
+        return server
 
     def add_grant(self, key: RequestKey, server: str, now_s: float) -> None:
         """Count a granted slot."""
@@ -99,6 +120,10 @@
             return False
         grant = asker.grants.pop(key.number, None)
         if grant is not None:
+            if asker.missing[grant[0]] > 0:
+                # The report was faster than the release.
+                asker.missing[grant[0]] -= 1
+                return False
             self._totals[grant[0]] -= 1
             return True
         if asker.unexplained[server] > 0:
@@ -112,8 +137,8 @@
     ) -> bool:
         """Correct the counts of an instance; return whether slots got free.
 
-        Grants that the report should count but doesn't are dropped: the
-        grant, or its release, was lost.
+        Grants that two reports in a row should count but don't are dropped,
+        the oldest first.
         """
         asker = self._asker(RequestKey(report.name, report.incarnation, 0))
         granted: dict[str, list[int]] = {}
@@ -121,8 +146,7 @@
             granted.setdefault(server, []).append(number)
         is_freed = False
         reported = report.in_flight
-        servers = {*reported, *granted, *asker.unexplained}
-        for server in servers:
+        for server in {*reported, *granted, *asker.unexplained}:
             numbers = granted.get(server, [])
             count = int(reported.get(server, 0))
             settled = [
@@ -130,19 +154,24 @@
                 for number in numbers
                 if now_s - asker.grants[number][1] > settle_s
             ]
-            before = self._totals[server]
-            # The newest ones: a lost grant is found by the first report after
-            # it, and its ask will be repeated.
-            for number in settled[count:]:
+            missing = max(0, len(settled) - count)
+            dropped = settled[: min(missing, asker.missing[server])]
+            for number in dropped:
                 del asker.grants[number]
-                self._totals[server] -= 1
-                numbers.remove(number)
-            unexplained = max(0, count - len(numbers))
-            self._totals[server] += unexplained - asker.unexplained[server]
+            held = len(numbers) - len(dropped)
+            missing -= len(dropped)
+            unexplained = max(0, count - held)
+            before = len(numbers) - asker.missing[server]
+            change = held - missing + unexplained
+            change -= before + asker.unexplained[server]
+            self._totals[server] += change
+            asker.missing[server] = missing
             asker.unexplained[server] = unexplained
             if not unexplained:
                 del asker.unexplained[server]
-            is_freed = is_freed or self._totals[server] < before
+            if not missing:
+                del asker.missing[server]
+            is_freed = is_freed or change < 0
         return is_freed
 
     def remove_asker(self, name: str) -> None:
@@ -152,6 +181,7 @@
             return
         self._totals.subtract(server for server, _ in asker.grants.values())
         self._totals.subtract(asker.unexplained)
+        self._totals.update(asker.missing)
 
     def unused(self, total: int, backend: str) -> int:
         """Return how many slots may be granted; used() counts against it."""
--- a/azurewick/entry/slot_broker.py
+++ b/azurewick/entry/slot_broker.py
@@ -217,7 +217,7 @@
             if refusal is not None:
                 self._send(key.asker, refusal)
             return
-        server = self._counts.granted_server(key)
+        server = self._counts.renew_grant(key, now_s)
         if server is not None:
             self._send(key.asker, Grant(key=key, server=server))
             return
--- a/tests/entry/test_slot_grants.py
+++ b/tests/entry/test_slot_grants.py
@@ -158,6 +158,30 @@
         self.assertTrue(self.report(0, 0.2, sequence=2))
         self.assertEqual(0, self.used())
 
+    def test_a_release_after_its_report_frees_one_slot(self):
+        second = KEY._replace(number=2)
+        self.counts.add_grant(KEY, "s1", 0.0)
+        self.counts.add_grant(second, "s1", 0.0)
+        # It has released the first one; the report overtakes the release.
+        self.assertTrue(self.report(1, 0.2, sequence=2))
+        self.assertFalse(self.counts.release(KEY, "s1"))
+        self.assertEqual(1, self.used())
+        self.assertTrue(self.counts.release(second, "s1"))
+        self.assertEqual(0, self.used())
+
+    def test_a_lost_grant_is_not_given_twice(self):
+        second = KEY._replace(number=2)
+        self.counts.add_grant(KEY, "s1", 0.0)
+        self.counts.add_grant(second, "s1", 0.0)
+        self.report(1, 0.2, sequence=2)
+        # Its slot may have been granted again.
+        self.assertIsNone(self.counts.renew_grant(second, 0.25))
+        self.assertEqual(1, self.used())
+        self.assertEqual("s1", self.counts.renew_grant(KEY, 0.25))
+        # A report on its way from before the renewal drops nothing.
+        self.report(0, 0.26, sequence=3)
+        self.assertEqual(1, self.used())
+
     def test_requests_without_a_grant_are_counted(self):
         self.counts.add_grant(KEY, "s1", 0.0)
         self.report(3, 0.2, sequence=2)
