Use free slots of other groups while a request waits in its own

A request was queued in its own region until the predicted wait exceeded its time, also while the other region had free slots; with the own shares it went there at once. While a request is queued, the other groups are now asked for a slot that is free at once. A group that has none isn't asked for 0.2 s.

--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -71,6 +71,11 @@
         """Return whether the server itself wants new work."""
         return not self.is_leaving and now_s >= self.paused_until_s
 
+    def unavailable_s(self, now_s: float) -> float:
+        """Return for how long it is ejected or wants no requests."""
+        until_s = max(self.ejected_until_s, self.paused_until_s)
+        return max(0.0, until_s - now_s)
+
     @property
     def is_leaving(self) -> bool:
         """Return whether this run of the server leaves or has left."""
--- a/azurewick/entry/broker_client.py
+++ b/azurewick/entry/broker_client.py
@@ -83,11 +83,6 @@
         self._answered_s: dict[str, float] = {}
         self._checks = PlannedChecks(set_timer)
 
-    @property
-    def waiting(self) -> int:
-        """Return the number of requests that wait for a grant."""
-        return len(self._pending)
-
     def is_in_fallback(self, group: Group, now_s: float) -> bool:
         """Return whether the own shares are used instead of a broker."""
         return now_s < self._fallback_until_s.get(group, -inf)
@@ -99,11 +94,16 @@
         budget_s: float,
         on_result: Callable[[GrantResult], None],
         now_s: float,
+        *,
+        may_wait: bool = True,
+        on_queued: Callable[[float], None] = lambda now_s: None,
     ) -> PendingAsk:
         """Ask the groups in turn; on_result is called once.
 
         It may be called before this returns. It isn't called any more after
-        withdraw().
+        withdraw(). Without may_wait only a slot that is free at once is
+        granted. on_queued is called with the time at each answer that the
+        request waits.
         """
         pending = PendingAsk(
             key=self._next_key(),
@@ -111,15 +111,17 @@
             groups=list(groups),
             ask_by_s=now_s + budget_s,
             on_result=on_result,
+            may_wait=may_wait,
+            on_queued=on_queued,
         )
         self._pending[pending.key.number] = pending
         self._ask_next_group(pending, now_s)
         return pending
 
-    def withdraw(self, pending: PendingAsk, now_s: float) -> None:
+    def withdraw(self, pending: PendingAsk) -> None:
         """Stop to wait."""
         if self._pending.pop(pending.key.number, None) is not None:
-            self._count("withdrawn")
+            self._count_end(pending, "withdrawn")
             self._withdraw_at_broker(pending)
 
     def release(self, backend: Backend, now_s: float) -> None:
@@ -133,7 +135,7 @@
             Release(
                 key=self._key(number),
                 server=backend.name,
-                unavailable_s=_unavailable_s(backend, now_s),
+                unavailable_s=backend.unavailable_s(now_s),
             ),
         )
 
@@ -156,6 +158,7 @@
             pending.is_acknowledged = True
             pending.has_failed_over = False
             pending.wait_s = message.wait_s
+            pending.on_queued(now_s)
         elif isinstance(message, Refusal):
             self._handle_refusal(message, pending, now_s)
 
@@ -304,6 +307,7 @@
                 group=pending.group,
                 demand=pending.demand,
                 excluded=pending.excluded_servers(serving, now_s),
+                may_wait=pending.may_wait,
             ),
         )
 
@@ -320,7 +324,9 @@
                 # It came too late, after a withdrawal.
                 self._send(sender, Release(key=grant.key, server=grant.server))
             return
-        backend = self._find_usable(pending, grant.server, now_s)
+        assert pending.group is not None
+        serving = self._engines.serving(pending.group.service, pending.demand)
+        backend = pending.find_usable(grant.server, serving, now_s)
         if backend is None:
             self._handle_unusable(pending, grant, sender, now_s)
             return
@@ -328,24 +334,12 @@
         self._held.add(number, backend.name, sender)
         self._finish(pending, GrantResult(backend=backend), "granted")
 
-    def _find_usable(
-        self, pending: PendingAsk, server: str, now_s: float
-    ) -> Backend | None:
-        """Return the granted server unless it can't take the request."""
-        if server in pending.demand.excluded or pending.group is None:
-            return None
-        service = pending.group.service
-        for backend in self._engines.serving(service, pending.demand):
-            if backend.name == server:
-                return backend if backend.is_available(now_s) else None
-        return None
-
     def _handle_unusable(
         self, pending: PendingAsk, grant: Grant, sender: str, now_s: float
     ) -> None:
         """Return the slot and ask again, with the server excluded."""
         assert pending.group is not None
-        self._count("unusable")
+        self._count_end(pending, "unusable")
         pending.excluded.insert(0, grant.server)
         pending.broker = ""
         self._renumber(pending)
@@ -379,9 +373,12 @@
         self, pending: PendingAsk, result: GrantResult, outcome: str
     ) -> None:
         self._pending.pop(pending.key.number, None)
-        self._count(outcome)
+        self._count_end(pending, outcome)
         pending.on_result(result)
 
+    def _count_end(self, pending: PendingAsk, outcome: str) -> None:
+        self._count(outcome if pending.may_wait else f"spillover_{outcome}")
+
     def _withdraw_at_broker(self, pending: PendingAsk) -> None:
         if pending.broker:
             self._send(pending.broker, Withdrawal(key=pending.key))
@@ -399,9 +396,3 @@
 
     def _key(self, number: int) -> RequestKey:
         return RequestKey(self._own_name, self._incarnation, number)
-
-
-def _unavailable_s(backend: Backend, now_s: float) -> float:
-    """Return for how long this instance sends a server nothing."""
-    until_s = max(backend.ejected_until_s, backend.paused_until_s)
-    return max(0.0, until_s - now_s)
--- a/azurewick/entry/broker_messages.py
+++ b/azurewick/entry/broker_messages.py
@@ -52,12 +52,14 @@
     """Asks for a slot of an engine of a group.
 
     excluded are servers that the asker can't use, the most important first.
+    Without may_wait only a slot that is free at once is granted.
     """
 
     key: RequestKey
     group: Group
     demand: Demand
     excluded: tuple[str, ...] = ()
+    may_wait: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -224,6 +226,7 @@
         _to_ms(demand.deadline_at_s - now_s),
         int(demand.is_caller_retry),
         int(demand.on_new_version),
+        int(ask.may_wait),
         demand.customer,
         None if part is None else [part.name, part.tokens],
         None if homes is None else sorted(homes),
@@ -237,7 +240,7 @@
 
 
 def _decode_ask(key: RequestKey, rest: list[Any], now_s: float) -> Ask:
-    part, homes, excluded = rest[13:16]
+    part, homes, excluded = rest[14:17]
     total_s = _read_time_s(rest[6])
     value = _read_float(rest[7])
     if total_s <= 0 or value <= 0:
@@ -258,7 +261,7 @@
             deadline_at_s=now_s + _read_time_s(rest[9]),
             is_caller_retry=rest[10] == 1,
             on_new_version=rest[11] == 1,
-            customer=_read_text(rest[12]),
+            customer=_read_text(rest[13]),
             shared_part=None
             if part is None
             else PromptPart(
@@ -269,6 +272,7 @@
             else frozenset(_read_text(home) for home in homes),
         ),
         excluded=tuple(_read_text(name) for name in excluded[:MAX_EXCLUDED]),
+        may_wait=rest[12] == 1,
     )
 
 
--- a/azurewick/entry/grant_dispatcher.py
+++ b/azurewick/entry/grant_dispatcher.py
@@ -59,7 +59,7 @@
         self._local.raise_if_paused(demand, budget_s, now_s)
         loop = get_running_loop()
         future: Future[GrantResult] = loop.create_future()
-        pending = self._grants.client.ask(
+        pending = self._grants.ask(
             demand, groups, budget_s, partial(self._set_result, future), now_s
         )
         self._waiting += 1
@@ -77,7 +77,7 @@
             raise
         finally:
             self._waiting -= 1
-            self._grants.client.withdraw(pending, self._clock())
+            pending.withdraw()
         if result.backend is not None:
             return result.backend
         if result.refused_wait_s is not None:
--- a/azurewick/entry/pending_asks.py
+++ b/azurewick/entry/pending_asks.py
@@ -50,6 +50,8 @@
     wait_s: float = 0.0
     refused_wait_s: float | None = None
     has_failed_over: bool = False
+    may_wait: bool = True
+    on_queued: Callable[[float], None] = lambda now_s: None
 
     def excluded_servers(
         self, serving: Sequence[Backend], now_s: float
@@ -62,6 +64,17 @@
         ]
         return tuple(dict.fromkeys(names))
 
+    def find_usable(
+        self, server: str, serving: Sequence[Backend], now_s: float
+    ) -> Backend | None:
+        """Return a granted server unless it can't take the request."""
+        if server in self.demand.excluded:
+            return None
+        for backend in serving:
+            if backend.name == server and backend.is_available(now_s):
+                return backend
+        return None
+
 
 class Brokers(Protocol):
     """Brokers of the groups."""
--- a/azurewick/entry/slot_broker.py
+++ b/azurewick/entry/slot_broker.py
@@ -236,9 +236,16 @@
             demand = replace(
                 demand, excluded=demand.excluded | frozenset(ask.excluded)
             )
-        if not self._groups.candidates(ask.group, demand):
+        if not self._groups.members(ask.group):
             # This instance doesn't know the engines yet. Without an answer
-            # the asker uses its own shares.
+            # the asker uses another broker or its own shares.
+            return
+        if not ask.may_wait:
+            backend = self._choose(ask.group, demand, now_s)
+            if backend is None:
+                self._refuse(key, 0.0, now_s)
+            else:
+                self._grant(key, backend, now_s)
             return
         queue = self._queues.setdefault(ask.group, _GroupQueue())
         waiter = Waiter(
@@ -251,9 +258,7 @@
         wait_s = self._predict_wait_s(ask.group, waiter, now_s)
         queue.rates.add(waiter.urgency, demand.work.total_s, now_s)
         if wait_s > budget_s:
-            refusal = Refusal(key=key, wait_s=wait_s)
-            self._decided[key] = (now_s, refusal)
-            self._send(key.asker, refusal)
+            self._refuse(key, wait_s, now_s)
             return
         waiting = _Waiting(waiter, ask.group, now_s + budget_s, now_s)
         self._waiting[key] = waiting
@@ -262,6 +267,11 @@
         if key in self._waiting:
             self._acknowledge(waiting, now_s)
 
+    def _refuse(self, key: RequestKey, wait_s: float, now_s: float) -> None:
+        refusal = Refusal(key=key, wait_s=wait_s)
+        self._decided[key] = (now_s, refusal)
+        self._send(key.asker, refusal)
+
     def _acknowledge(self, waiting: _Waiting, now_s: float) -> None:
         key = waiting.waiter.payload
         wait_s = self._predict_wait_s(waiting.group, waiting.waiter, now_s)
@@ -309,7 +319,9 @@
                 if not demand.excluded:
                     full.add(kind)
                 continue
-            self._grant(waiter, queue, backend, now_s)
+            queue.queue.remove(waiter)
+            del self._waiting[waiter.payload]
+            self._grant(waiter.payload, backend, now_s)
             free -= 1
             if not free:
                 return
@@ -329,16 +341,7 @@
             )
         )
 
-    def _grant(
-        self,
-        waiter: Waiter[RequestKey],
-        queue: _GroupQueue,
-        backend: Backend,
-        now_s: float,
-    ) -> None:
-        key = waiter.payload
-        queue.queue.remove(waiter)
-        del self._waiting[key]
+    def _grant(self, key: RequestKey, backend: Backend, now_s: float) -> None:
         if key.asker != self._own_name:
             self._counts.add_grant(key, backend.name, now_s)
         self._send(key.asker, Grant(key=key, server=backend.name))
--- a/azurewick/entry/slot_grants.py
+++ b/azurewick/entry/slot_grants.py
@@ -22,12 +22,14 @@
 from azurewick.entry.fleet_counts import FleetCounts
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
+from azurewick.entry.pending_asks import GrantResult
 from azurewick.entry.placement import LeastLoadPlacement
 from azurewick.entry.placement import MIN_SHARED_TOKENS
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.slot_broker import SlotBroker
 from azurewick.entry.slot_broker import SWEEP_INTERVAL_S
+from azurewick.entry.spillover import SpilloverAsk
 from azurewick.entry.state import FleetState
 from azurewick.entry.version_moves import VersionMoves
 
@@ -162,6 +164,8 @@
         self._call_later = call_later
         self._clock = clock
         self._is_sweeping = False
+        # Groups without free slots, with the time until which that counts.
+        self._full_until_s: dict[Group, float] = {}
         self.broker = SlotBroker(
             own_name=own_name,
             groups=groups,
@@ -182,9 +186,11 @@
     def groups_to_ask(self, service: str, demand: Demand) -> list[Group]:
         """Return the groups that a request asks in turn.
 
-        That is one of the own region, then one of each other region. It is
-        empty where the instances don't outnumber the slots of an engine, and
-        until the list of the peers has been read: the own shares are used.
+        That is one of the own region, then up to one other of it and one of
+        each other region. Groups without a server for the request are left
+        out. It is empty where the instances don't outnumber the slots of an
+        engine, and until the list of the peers has been read: the own shares
+        are used.
         """
         if not (
             self.is_enabled
@@ -195,14 +201,45 @@
         by_region: dict[str, list[Group]] = {}
         for group in self._groups.groups(service):
             homes = demand.home_regions
-            if homes is None or group.region in homes:
+            if homes is not None and group.region not in homes:
+                continue
+            if self._groups.candidates(group, demand):
                 by_region.setdefault(group.region, []).append(group)
-        chosen = [
-            self._choose_group(groups, demand) for groups in by_region.values()
-        ]
-        self._random.shuffle(chosen)
-        chosen.sort(key=lambda group: not self._groups.is_own_region(group))
-        return chosen
+        near: list[Group] = []
+        far: list[Group] = []
+        for groups in by_region.values():
+            group = self._choose_group(groups, demand)
+            if not self._groups.is_own_region(group):
+                far.append(group)
+                continue
+            near.append(group)
+            others = [other for other in groups if other != group]
+            if others:
+                near.append(self._random.choice(others))
+        self._random.shuffle(far)
+        return near + far
+
+    def ask(
+        self,
+        demand: Demand,
+        groups: Sequence[Group],
+        budget_s: float,
+        on_result: Callable[[GrantResult], None],
+        now_s: float,
+    ) -> SpilloverAsk:
+        """Ask the groups for a slot; on_result is called once.
+
+        It may be called before this returns.
+        """
+        return SpilloverAsk(
+            self.client,
+            demand,
+            groups,
+            budget_s,
+            on_result,
+            now_s,
+            self._full_until_s,
+        )
 
     def may_have_free_slot(
         self, groups: Sequence[Group], demand: Demand, now_s: float
--- a/tests/entry/grants_model.py
+++ b/tests/entry/grants_model.py
@@ -181,11 +181,11 @@
                 left_s = budget_s - (self.now_s - now_s)
                 self._wait(index, request, left_s, self.now_s)
 
-        pending = grants.client.ask(demand, groups, budget_s, end, now_s)
+        pending = grants.ask(demand, groups, budget_s, end, now_s)
 
         def expire(at_s: float) -> None:
             if not ended and instance.name not in self.dead:
-                grants.client.withdraw(pending, at_s)
+                pending.withdraw()
                 ended.append(None)
                 self._refuse(request, at_s)
 
--- a/tests/entry/test_broker_client.py
+++ b/tests/entry/test_broker_client.py
@@ -15,6 +15,7 @@
 from azurewick.entry.broker_messages import Refusal
 from azurewick.entry.broker_messages import Release
 from azurewick.entry.broker_messages import Withdrawal
+from azurewick.entry.spillover import SpilloverAsk
 from tests.entry.builders import build_demand
 from tests.entry.builders import build_entry
 
@@ -47,8 +48,8 @@
         return group == HOME
 
 
-class BrokerClientTest(TestCase):
-    """Guards against requests that hang, or that keep or lose a slot."""
+class FakeBrokersCase(TestCase):
+    """Test case with a client whose messages are recorded."""
 
     def setUp(self):
         logging.disable(logging.WARNING)
@@ -77,6 +78,10 @@
     def asked(self):
         return [to for to, message in self.sent if isinstance(message, Ask)]
 
+
+class BrokerClientTest(FakeBrokersCase):
+    """Guards against requests that hang, or that keep or lose a slot."""
+
     def test_refused_request_is_asked_for_in_the_other_region(self):
         pending = self.ask()
         self.client.handle(Refusal(key=pending.key, wait_s=2.0), "b1", 0.01)
@@ -128,7 +133,7 @@
     def test_late_grant_is_returned_and_a_repeated_one_is_kept(self):
         pending = self.ask()
         key = pending.key
-        self.client.withdraw(pending, 0.1)
+        self.client.withdraw(pending)
         self.assertIsInstance(self.sent[-1][1], Withdrawal)
         self.client.handle(Grant(key=key, server="s1"), "b1", 0.11)
         self.assertEqual(("b1", Release(key=key, server="s1")), self.sent[-1])
@@ -140,3 +145,58 @@
         self.assertIsInstance(self.sent[-1][1], Ask)
         self.client.release(backend, 0.3)
         self.assertEqual(("b1", Release(key=key, server="s1")), self.sent[-1])
+
+
+class SpilloverTest(FakeBrokersCase):
+    """Guards against requests that wait while another region has free slots.
+
+    Most callers may be in one region and most engines in another.
+    """
+
+    def spill(self, now_s=0.0):
+        ask = SpilloverAsk(
+            self.client,
+            build_demand(),
+            [HOME, AWAY],
+            0.5,
+            self.results.append,
+            now_s,
+            self.full_until_s,
+        )
+        main = self.sent[-1][1].key
+        self.client.handle(Queued(key=main, wait_s=0.1), "b1", now_s)
+        return ask, main
+
+    def setUp(self):
+        super().setUp()
+        self.full_until_s = {}
+
+    def test_free_slot_elsewhere_ends_the_wait(self):
+        _, main = self.spill()
+        to, probe = self.sent[-1]
+        self.assertEqual(("b3", False), (to, probe.may_wait))
+        self.client.handle(Grant(key=probe.key, server="s1"), "b3", 0.02)
+        (backend,) = self.fleet.backends
+        self.assertIs(backend, self.results[0].backend)
+        self.assertEqual(("b1", Withdrawal(key=main)), self.sent[-1])
+        # The slot of the own region may have been granted meanwhile.
+        self.client.handle(Grant(key=main, server="s1"), "b1", 0.03)
+        self.assertEqual(1, backend.in_flight)
+        self.assertEqual(1, len(self.results))
+        self.assertIsInstance(self.sent[-1][1], Release)
+
+    def test_full_region_is_not_asked_for_each_request(self):
+        self.spill()
+        probe = self.sent[-1][1]
+        self.client.handle(Refusal(key=probe.key, wait_s=0.0), "b3", 0.02)
+        self.spill(0.1)
+        self.assertEqual(["b1", "b3", "b1"], self.asked())
+        self.spill(0.3)
+        self.assertEqual("b3", self.asked()[-1])
+
+    def test_withdrawal_ends_both_asks(self):
+        ask, main = self.spill()
+        probe = self.sent[-1][1].key
+        ask.withdraw()
+        withdrawn = {message.key for _, message in self.sent[-2:]}
+        self.assertEqual({main, probe}, withdrawn)
