Don't use the closed datagram port of a stopping instance

A request that ended after the stop of the reports returned its slot through the closed transport, which raises AttributeError in asyncio.

--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -90,6 +90,8 @@
         if self._transport is not None:
             self._send(replace(self._next_report(), is_leaving=True))
             self._transport.close()
+            # Requests that end later still return their slots.
+            self._transport = None
 
     def set_peers(self, peers: Mapping[str, PeerInstance]) -> None:
         """Set the other instances by name; send a report to new ones at once.
--- a/tests/entry/test_slot_datagrams.py
+++ b/tests/entry/test_slot_datagrams.py
@@ -179,6 +179,13 @@
         backend = await waiting
         self.assertEqual(1, backend.in_flight)
 
+    async def test_release_after_the_stop_of_the_reports_is_no_error(self):
+        _, other = await self.async_fill()
+        await self.askers[0].gossip.async_stop()
+        await asyncio.sleep(0.01)
+        self.askers[0].dispatcher.release(other)
+        self.assertEqual(0, other.in_flight)
+
     async def test_a_server_that_the_asker_can_not_use_is_returned(self):
         asker = self.askers[0]
         # Ejected after the ask has been sent.
