--- a/azurewick/entry/processor_share.py
+++ b/azurewick/entry/processor_share.py
@@ -15,10 +15,11 @@
 SAMPLE_INTERVAL_S = 0.1
 # The median of so many samples counts: a single pause, as at the start, is no
 # overload.
-SAMPLES = 15
+SAMPLES = 31
 # Lateness up to which an instance reports a processor share. An instance with
-# a small part of a core is up to 10 ms late without being overloaded.
-SHARES_BY_LATENESS = ((0.004, 1.0), (0.012, 0.5), (0.03, 0.25))
+# a small part of a core is up to 10 ms late, some ms in the median, without
+# being overloaded; it is a broker only if few others can be.
+SHARES_BY_LATENESS = ((0.0015, 1.0), (0.005, 0.3), (0.03, 0.1))
 # A higher share is reported only after the lateness has been as low for this
 # long: each change may move brokers to other instances.
 RISE_AFTER_S = 5.0
