--- a/azurewick/entry/cold_servers.py
+++ b/azurewick/entry/cold_servers.py
@@ -252,6 +252,12 @@
         while this instance hears too few of its peers.
         """
         names = self._servers if self._is_isolated else self._cold
+        if not self.shares.is_settled(now_s):
+            return frozenset(
+                name
+                for name in names
+                if self._limited(self._servers[name].entry, now_s) is not None
+            )
         withheld = set()
         for name in names:
             server = self._limited(self._servers[name].entry, now_s)
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -67,6 +67,7 @@
 KEY_CONFIGURATION = "g"
 KEY_EVACUATIONS = "e"
 KEY_RESTARTS = "k"
+KEY_PROCESSOR_SHARE = "P"
 # Sources of departures in reports, by index.
 DEPARTURE_SOURCES = tuple(DepartureSource)
 
@@ -132,6 +133,8 @@
         fields[KEY_EVACUATIONS] = encode_evacuations(report.evacuations)
     if report.restarts:
         fields[KEY_RESTARTS] = encode_claims(report.restarts)
+    if report.processor_share:
+        fields[KEY_PROCESSOR_SHARE] = round(report.processor_share, 2)
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -166,6 +169,9 @@
             evacuations=decode_evacuations(body.get(KEY_EVACUATIONS)),
             restarts=read_claims(body.get(KEY_RESTARTS, [])),
             has_lost_store=body.get(KEY_HAS_LOST_STORE) is True,
+            processor_share=max(
+                0.0, _read_float(body.get(KEY_PROCESSOR_SHARE, 0.0))
+            ),
         )
     except (
         AttributeError,
