--- a/tests/processes/entry_case.py
+++ b/tests/processes/entry_case.py
@@ -28,6 +28,7 @@
     """Test case that starts an instance with one backend server."""
 
     grace_s = 5.0
+    stdout = asyncio.subprocess.PIPE
 
     async def asyncSetUp(self):
         folder = TemporaryDirectory()
@@ -74,7 +75,7 @@
             "-m",
             "azurewick.platform",
             env={**os.environ, ENV_NODE_FILE: str(self.settings)},
-            stdout=asyncio.subprocess.PIPE,
+            stdout=self.stdout,
         )
         self.addAsyncCleanup(self._async_end, process)
         return process
