Bound what callers' connections hold beside request bodies

The parser keeps an object and a boundary for each chunk until the body is read, of up to 256 KB of input at once; after an error it goes on to keep what it receives; pipelined heads are queued 32 deep; the peers' address had no limit of connections.

A connection now reads 32 KB at most, parses 4 KB at once and joins the chunks of each portion, holds 4 pipelined requests, and is closed after 16 KB of extensions or trailers without a byte of a body. CallerMemory accounts for what all connections hold (a tenth of the memory by default) and closes those that have held most for longest without an answer; an answer that stays unread for 10 s is given up. The peers' address uses the same server.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -120,7 +120,9 @@
             on_news=self._announce_configuration,
         )
         self._peer_api = PeerApi(
-            self._replicator.history, self._replicator.peers.is_peer
+            self._replicator.history,
+            self._replicator.peers.is_peer,
+            settings.peer_connections,
         )
         self._random = random
         self._peer_instances: Mapping[str, PeerInstance] = {}
@@ -231,7 +233,9 @@
             header_timeout_s=FIRST_REQUEST_TIMEOUT_S,
             max_connections=settings.max_connections,
             max_field_bytes=MAX_FIELD_BYTES,
+            limits=settings.caller_limits,
         )
+        self._caller_server.memory.on_close = self.metrics.count_closed_caller
         self._apply_caller_limits()
         await self._async_listen(self._caller_server, settings.address)
         _LOGGER.info(
@@ -304,6 +308,8 @@
         self.settings = settings
         self._drain.grace_s = settings.grace_s
         self._body_memory.limit_bytes = settings.body_memory_bytes
+        if self._caller_server is not None:
+            self._caller_server.memory.limits = settings.caller_limits
         self._limiter.tolerance = _build_tolerance(settings)
         self._moves.limits = _build_exposure_limits(settings)
         self.pools.apply_settings(settings)
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus.collectors import Gauge
 from aioprometheus.collectors import Histogram
 
+from azurewick.helpers.caller_memory import CloseCause
 from azurewick.helpers.metrics_endpoint import MetricsEndpoint
 
 DURATION_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
@@ -37,6 +38,16 @@
             "Bytes of request bodies that are held.",
             registry=self.registry,
         )
+        self._closed_callers = Counter(
+            "azurewick_entry_closed_callers_total",
+            "Callers' connections closed for a limit, by limit.",
+            registry=self.registry,
+        )
+        self.caller_bytes = Gauge(
+            "azurewick_entry_caller_bytes",
+            "Bytes held for callers' connections beside the bodies.",
+            registry=self.registry,
+        )
 
         self._configurations = Counter(
             "azurewick_entry_configurations_total",
@@ -54,6 +65,10 @@
             registry=self.registry,
         )
 
+    def count_closed_caller(self, cause: CloseCause) -> None:
+        """Record a caller's connection that was closed for a limit."""
+        self._closed_callers.inc({"cause": cause.value})
+
     def count_configuration(self, source: str, revision: int) -> None:
         """Record a configuration that has come into force."""
         self._configurations.inc({"source": source})
--- a/azurewick/helpers/caller_server.py
+++ b/azurewick/helpers/caller_server.py
@@ -4,14 +4,18 @@
 
 from asyncio import BaseTransport
 from asyncio import TimerHandle
+from asyncio import Transport
 from typing import Any
+from typing import cast
 
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.streams import StreamReader
 from aiohttp.web import BaseRequest
 from aiohttp.web import json_response
 from aiohttp.web import RequestHandler
+from aiohttp.web import RequestPayloadError
 from aiohttp.web import Server
 from aiohttp.web import StreamResponse
 from aiohttp.web_protocol import _ErrInfo
@@ -20,6 +24,16 @@
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
+from azurewick.helpers.caller_input import BODY_BUFFER_BYTES
+from azurewick.helpers.caller_input import BoundedReads
+from azurewick.helpers.caller_input import head_memory_bytes
+from azurewick.helpers.caller_input import MAX_FRAMING_BYTES
+from azurewick.helpers.caller_input import MAX_QUEUED_REQUESTS
+from azurewick.helpers.caller_input import merge_chunks
+from azurewick.helpers.caller_input import PARSED_BYTES
+from azurewick.helpers.caller_memory import CallerLimits
+from azurewick.helpers.caller_memory import CallerMemory
+from azurewick.helpers.caller_memory import CloseCause
 
 # Load balancers commonly keep idle connections open for as long as this.
 KEEPALIVE_S = 75.0
@@ -35,6 +49,10 @@
 MAX_FIELD_BYTES = 8190
 # Limit of a whole request head until the configuration has another one.
 MAX_HEAD_BYTES = 65_536
+# Interval at which the memory and the unread answers are looked at.
+SWEEP_INTERVAL_S = 1.0
+# A connection without a request may be closed for a new one after this time.
+NEW_CONNECTION_S = 1.0
 
 
 class CallerRequest(BaseRequest):
@@ -44,7 +62,9 @@
         manager = self.protocol._manager
         if resp.keep_alive and isinstance(manager, CallerServer):
             timeout_s = int(manager.idle_timeout_s)
-            if timeout_s > 0:
+            if self.protocol._close:
+                resp.force_close()
+            elif timeout_s > 0:
                 resp.headers.setdefault("Connection", "keep-alive")
                 resp.headers["Keep-Alive"] = f"timeout={timeout_s}"
 
@@ -55,6 +75,22 @@
     _finished_count = 0
     # Bytes of an incomplete head, None while no head is being received.
     _head_bytes: int | None = 0
+    # Payload of the request that is being received, or was last.
+    _payload: StreamReader | None = None
+    # Bytes received since the last byte of the body of an unfinished request.
+    _framing_bytes = 0
+    # Bytes that wait for the parser, as a body or the requests aren't taken.
+    _pending = b""
+    # aiohttp forgets the transport before its last bytes are sent.
+    _caller_transport: Transport | None = None
+    _unread_bytes = 0
+    _unread_since_s = 0.0
+    progress_s = 0.0
+
+    def __init__(self, manager: Server, **kwargs: Any) -> None:
+        super().__init__(manager, **kwargs)
+        self._max_msg_queue_size = MAX_QUEUED_REQUESTS
+        self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
 
     def connection_made(self, transport: BaseTransport) -> None:
         """Close the connection if there is no room, or if no request arrives.
@@ -65,12 +101,21 @@
         manager = self._manager
         if not isinstance(manager, CallerServer):
             return
+        # The transports of uvloop have another base class.
+        self._caller_transport = cast(Transport, transport)
+        self._caller_transport.set_protocol(BoundedReads(self))
+        self.progress_s = self._loop.time()
         if (
             manager.connection_count > manager.max_connections
             and not manager.close_oldest_idle()
+            and not manager.close_oldest_new()
         ):
+            manager.memory.record_close(
+                CloseCause.CONNECTIONS, self._loop.time()
+            )
             self.force_close()
             return
+        manager.add_new(self)
         self._loop.call_later(
             manager.header_timeout_s, self._close_without_request, 0
         )
@@ -79,10 +124,143 @@
         """Forget the connection."""
         manager = self._manager
         if isinstance(manager, CallerServer):
-            manager.remove_idle(self)
+            manager.forget(self)
+        self._pending = b""
+        self._payload = None
+        self._caller_transport = None
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        """Parse data in portions until the parser is paused.
+
+        aiohttp calls this without data when the parser may go on.
+        """
+        pending = self._pending + data if self._pending else data
+        self._pending = b""
+        if not pending:
+            self._parse(b"")
+            return
+        start = 0
+        while start < len(pending) and not self._is_input_held():
+            size = PARSED_BYTES
+            payload = self._payload
+            if (
+                payload is not None
+                and not payload.is_eof()
+                and payload._http_chunk_splits is None
+            ):
+                # The rest of a body of a declared length.
+                size = len(pending)
+            self._parse(pending[start : start + size])
+            start += size
+        if self._force_close or self._close:
+            return
+        self._pending = pending[start:]
+        if self._pending and not self._reading_paused:
+            self._pause_reading_for_buffer()
+        manager = self._manager
+        if isinstance(manager, CallerServer):
+            manager.memory.update(self, self.held_bytes())
+            manager.keep_memory_limit()
+
+    def held_bytes(self) -> int:
+        """Return the bytes that are held for this connection."""
+        held = len(self._pending)
+        if self._payload is not None:
+            held += self._payload._size
+        for message, payload in self._messages:
+            if not isinstance(message, _ErrInfo):
+                held += head_memory_bytes(message)
+            if payload is not self._payload and payload is not EMPTY_PAYLOAD:
+                held += payload._size
+        if self._current_request is not None:
+            held += head_memory_bytes(self._current_request._message)
+        if self._caller_transport is not None:
+            held += self._caller_transport.get_write_buffer_size()
+        return held + (self._head_bytes or 0)
+
+    def has_unread_answer(self, now_s: float, limit_s: float) -> bool:
+        """Return whether the caller has read nothing for limit_s.
+
+        Until the buffer is full, an answer may grow faster than a slow caller
+        reads it, so that only a full or a last buffer tells.
+        """
+        transport = self._caller_transport
+        size = 0 if transport is None else transport.get_write_buffer_size()
+        is_last = self._current_request is None
+        if (
+            size < self._unread_bytes
+            or not size
+            or not (self._paused or is_last)
+        ):
+            self._unread_since_s = now_s
+        self._unread_bytes = size
+        return size > 0 and now_s - self._unread_since_s >= limit_s
+
+    def abort(self) -> None:
+        """Close the connection at once, without the bytes that are unsent."""
+        transport = self._caller_transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    def _is_input_held(self) -> bool:
+        return (
+            self._reading_paused
+            or len(self._messages) >= MAX_QUEUED_REQUESTS
+            or self._force_close
+            or self._close
+        )
+
+    def _parse(self, data: bytes) -> None:
+        """Pass a portion of the input on to the parser."""
+        payload = self._payload
+        is_open = payload is not None and not payload.is_eof()
+        first = 0 if payload is None else len(payload._buffer)
+        received = 0 if payload is None else payload.total_bytes
+        queued = len(self._messages)
+        self._receive(data)
+        if payload is not None and is_open:
+            merge_chunks(payload, min(first, len(payload._buffer)))
+            if payload.total_bytes > received or payload.is_eof():
+                self._framing_bytes = 0
+            else:
+                self._framing_bytes += len(data)
+            if self._framing_bytes > MAX_FRAMING_BYTES:
+                self._end_input(payload)
+                self._record_close(CloseCause.FRAMING)
+                return
+            if (
+                len(self._messages) > queued
+                and isinstance(self._messages[-1][0], _ErrInfo)
+                and not payload.is_eof()
+            ):
+                # The fault is in the body of a request that has its own
+                # answer.
+                self._messages.pop()
+                self._request_count -= 1
+                self._end_input(payload)
+                return
+        for _, new in list(self._messages)[queued:]:
+            if new is not EMPTY_PAYLOAD:
+                self._payload = new
+                self._framing_bytes = 0
+                merge_chunks(new, 0)
+
+    def _end_input(self, payload: StreamReader) -> None:
+        """Discard all further input; the body of a request is malformed."""
+        if self._current_request is not None or self._messages:
+            payload.set_exception(RequestPayloadError("malformed body"))
+        payload.feed_eof()
+        self._pending = b""
+        self.close()
+
+    def _record_close(self, cause: CloseCause) -> None:
+        manager = self._manager
+        if isinstance(manager, CallerServer):
+            manager.memory.record_close(cause, self._loop.time())
+
+    def _receive(self, data: bytes) -> None:
         """Handle data; the connection isn't idle from the first byte on."""
         manager = self._manager
         was_idle = isinstance(manager, CallerServer) and manager.remove_idle(
@@ -93,6 +271,8 @@
         super().data_received(data)
         if self._request_count > count:
             self._head_bytes = None
+            if isinstance(manager, CallerServer):
+                manager.remove_new(self)
         elif head_bytes is not None:
             # None if these were the last bytes of a body, which may come after
             # the response and leave the connection idle.
@@ -112,6 +292,7 @@
         """Finish a response; the connection is idle once the body has come."""
         result = await super().finish_response(request, resp, start_time)
         self._finished_count += 1
+        self.progress_s = self._loop.time()
         request.content.on_eof(self._handle_end)
         return result
 
@@ -207,6 +388,7 @@
         header_timeout_s: float,
         max_connections: int,
         max_field_bytes: int = MAX_FIELD_BYTES,
+        limits: CallerLimits | None = None,
     ) -> None:
         super().__init__(
             handler,
@@ -216,6 +398,7 @@
             access_log=None,
             auto_decompress=False,
             lingering_time=LINGERING_S,
+            read_bufsize=BODY_BUFFER_BYTES,
             max_headers=MAX_HEADER_FIELDS,
             max_line_size=max_field_bytes,
             max_field_size=max_field_bytes,
@@ -228,6 +411,10 @@
         # Idle connections with the times since when, the oldest first.
         self._idle_since_s: dict[CallerConnection, float] = {}
         self._timer: TimerHandle | None = None
+        # Connections without a request, the oldest first.
+        self._new_since_s: dict[CallerConnection, float] = {}
+        self.memory = CallerMemory(limits or CallerLimits())
+        self._sweep_timer: TimerHandle | None = None
 
     @property
     def connection_count(self) -> int:
@@ -245,6 +432,7 @@
         return (
             self.connection_count >= self.max_connections
             and not self._idle_since_s
+            and not self._has_old_new()
         )
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
@@ -273,8 +461,55 @@
         connection.force_close()
         return True
 
+    def add_new(self, connection: CallerConnection) -> None:
+        """Count a connection as one that has no request yet."""
+        self._new_since_s[connection] = self._loop.time()
+        if self._sweep_timer is None:
+            self._sweep_timer = self._loop.call_later(
+                SWEEP_INTERVAL_S, self._sweep
+            )
+
+    def remove_new(self, connection: CallerConnection) -> None:
+        """Count a connection as one that has had a request."""
+        self._new_since_s.pop(connection, None)
+
+    def close_oldest_new(self) -> bool:
+        """Close the connection that has been without a request for longest.
+
+        Connections that have just been opened stay.
+        """
+        if not self._has_old_new():
+            return False
+        connection = next(iter(self._new_since_s))
+        del self._new_since_s[connection]
+        self.memory.record_close(CloseCause.CONNECTIONS, self._loop.time())
+        connection.force_close()
+        return True
+
+    def forget(self, connection: CallerConnection) -> None:
+        """Forget a connection that has been closed."""
+        self.remove_idle(connection)
+        self.remove_new(connection)
+        self.memory.remove(connection)
+
+    def keep_memory_limit(self) -> None:
+        """Close connections while they hold more memory than allowed."""
+        if self.memory.held_bytes <= self.memory.limits.memory_bytes:
+            return
+        now_s = self._loop.time()
+        # What was held may have been taken meanwhile.
+        self._update_memory()
+        for connection in self.memory.choose_closed(now_s):
+            assert isinstance(connection, CallerConnection)
+            self.memory.record_close(CloseCause.MEMORY, now_s)
+            self.memory.remove(connection)
+            connection.abort()
+
     def pre_shutdown(self) -> None:
         """Close idle connections, and the others after their requests."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -296,6 +531,36 @@
             message, payload, protocol, writer, task, self._loop
         )
 
+    def _has_old_new(self) -> bool:
+        since_s = next(iter(self._new_since_s.values()), None)
+        return (
+            since_s is not None
+            and self._loop.time() - since_s >= NEW_CONNECTION_S
+        )
+
+    def _update_memory(self) -> None:
+        for connection in self._connections:
+            if isinstance(connection, CallerConnection):
+                self.memory.update(connection, connection.held_bytes())
+
+    def _sweep(self) -> None:
+        """Close connections whose callers don't read; renew the account."""
+        self._sweep_timer = None
+        now_s = self._loop.time()
+        limit_s = self.memory.limits.unread_answer_s
+        for connection in list(self._connections):
+            if not isinstance(connection, CallerConnection):
+                continue
+            if connection.has_unread_answer(now_s, limit_s):
+                self.memory.record_close(CloseCause.UNREAD_ANSWER, now_s)
+                connection.abort()
+        self._update_memory()
+        self.keep_memory_limit()
+        if self._connections:
+            self._sweep_timer = self._loop.call_later(
+                SWEEP_INTERVAL_S, self._sweep
+            )
+
     def _close_expired(self) -> None:
         now_s = self._loop.time()
         while self._idle_since_s:
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -14,6 +14,8 @@
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
+from azurewick.helpers.caller_memory import CallerLimits
+from azurewick.helpers.caller_memory import UNREAD_ANSWER_S
 from azurewick.helpers.validation import InvalidDataError
 from azurewick.helpers.validation import validate
 from azurewick.settings.files import read_settings_file
@@ -21,10 +23,16 @@
 # Share of the file descriptors for callers' connections. The others are for
 # connections to backend servers and the store, and for files.
 CALLER_CONNECTION_SHARE = 0.6
+# Share of the file descriptors for connections at the peers' address, and its
+# least number.
+PEER_CONNECTION_SHARE = 0.1
+MIN_PEER_CONNECTIONS = 8
 # Share of the memory for the bodies of requests. The process itself, what is
 # received and sent at the time, and what the allocator hasn't returned to the
 # system come on top.
 BODY_MEMORY_SHARE = 0.25
+# Share of the memory for what callers' connections hold beside the bodies.
+CALLER_MEMORY_SHARE = 0.1
 BYTES_PER_MB = 1_048_576
 
 
@@ -48,11 +56,20 @@
 
 
 class LimitsTable(Struct, frozen=True):
-    """Resource limits of the process."""
+    """Resource limits of the process.
+
+    caller_memory_share is the share of the memory for what callers'
+    connections hold beside bodies; answers that stay unread for
+    unread_answer_s are given up.
+    """
 
     max_fds: Annotated[int, Meta(gt=0, le=2**31)] = 1024
     memory_mb: Annotated[float, Meta(gt=0, le=2**31)] = 256.0
     link_mbps: Annotated[float, Meta(gt=0, le=1e9)] = 100.0
+    caller_memory_share: Annotated[float, Meta(gt=0, le=0.5)] = (
+        CALLER_MEMORY_SHARE
+    )
+    unread_answer_s: Annotated[float, Meta(ge=1, le=3600)] = UNREAD_ANSWER_S
 
 
 class BoundsTable(Struct, frozen=True):
@@ -136,6 +153,18 @@
         store_address=node.platform.addr,
         link_mbit_per_s=node.limits.link_mbps,
         max_connections=int(node.limits.max_fds * CALLER_CONNECTION_SHARE),
+        peer_connections=max(
+            MIN_PEER_CONNECTIONS,
+            int(node.limits.max_fds * PEER_CONNECTION_SHARE),
+        ),
+        caller_limits=CallerLimits(
+            memory_bytes=int(
+                node.limits.memory_mb
+                * BYTES_PER_MB
+                * node.limits.caller_memory_share
+            ),
+            unread_answer_s=node.limits.unread_answer_s,
+        ),
         body_memory_bytes=int(
             node.limits.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE
         ),
--- a/azurewick/replication/peer_api.py
+++ b/azurewick/replication/peer_api.py
@@ -8,8 +8,9 @@
 
 from aiohttp.web import BaseRequest
 from aiohttp.web import Response
-from aiohttp.web import Server
 
+from azurewick.helpers.caller_memory import CallerLimits
+from azurewick.helpers.caller_server import CallerServer
 from azurewick.helpers.listener import Listener
 from azurewick.replication.codec import encode_document
 from azurewick.replication.document import Document
@@ -27,6 +28,10 @@
 UPLOAD_POLL_S = 0.02
 MAX_UPLOAD_S = 5.0
 CLOSE_TIMEOUT_S = 0.1
+# Time in which a request must arrive, and limits of what the connections hold.
+REQUEST_TIMEOUT_S = 5.0
+MAX_CONNECTIONS = 400
+LIMITS = CallerLimits(memory_bytes=4_194_304, unread_answer_s=MAX_UPLOAD_S)
 
 
 class PeerApi:
@@ -37,10 +42,14 @@
     """
 
     def __init__(
-        self, history: DocumentHistory, is_peer: Callable[[str], bool]
+        self,
+        history: DocumentHistory,
+        is_peer: Callable[[str], bool],
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._history = history
         self._is_peer = is_peer
+        self._max_connections = max_connections
         self._uploads = 0
         # Encoded newest document, by the digests of it and of its base.
         self._encoded: dict[tuple[str, str], bytes] = {}
@@ -48,7 +57,12 @@
 
     async def async_start(self, address: str) -> None:
         """Listen; raise OSError when the address can't be used."""
-        server = Server(self._async_handle, access_log=None)
+        server = CallerServer(
+            self._async_handle,
+            header_timeout_s=REQUEST_TIMEOUT_S,
+            max_connections=self._max_connections,
+            limits=LIMITS,
+        )
         self._listener = Listener(server, CLOSE_TIMEOUT_S)
         await self._listener.async_start(address)
 
