Hold request bodies in parts of 64 KB

A body was one growing buffer. Each growth copied it to a larger block, the allocator kept the former ones, and the traceback of a refusal kept the data that had found no room. A chunked body, whose length isn't known, used the reserve for small bodies.

Bodies are held in parts, the refusing frame drops its data, and a body of unknown length over 64 KB gets nothing of the reserve.

--- a/azurewick/entry/backend_client.py
+++ b/azurewick/entry/backend_client.py
@@ -151,6 +151,6 @@
     if body is None or not body.size:
         return None
     if body.size <= PART_BYTES:
-        return bytes(body.data)
+        return b"".join(body.parts)
     headers["Content-Length"] = str(body.size)
     return body.async_iterate()
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -193,14 +193,20 @@
         self, content: StreamReader, body: RequestBody, max_bytes: int
     ) -> None:
         async for data in content.iter_any():
-            if body.size + len(data) > max_bytes:
+            size = body.size + len(data)
+            is_added = size <= max_bytes and body.try_append(
+                data, self._clock()
+            )
+            # The tracebacks of the errors keep this frame.
+            del data
+            if size > max_bytes:
                 raise _receive_error(
                     ErrorCode.BODY_TOO_LARGE,
                     f"body exceeds {max_bytes} bytes",
                 )
             if body.is_withdrawn:
                 raise _withdrawn_error()
-            if not body.try_append(data, self._clock()):
+            if not is_added:
                 raise self._no_memory_error(body)
 
     def _no_memory_error(self, body: RequestBody) -> AzurewickError:
@@ -232,7 +238,7 @@
         context.traits = request_traits(
             context.request,
             customer,
-            b"" if context.body is None else context.body.data,
+            () if context.body is None else context.body.parts,
         )
         self._guard.raise_if_culprit(context.traits)
 
--- a/azurewick/entry/request_body.py
+++ b/azurewick/entry/request_body.py
@@ -4,9 +4,12 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Sequence
 from itertools import takewhile
 
-# Largest part of a body that is written at once.
+# Largest part of a body that is written at once. Bodies are held in parts of
+# this size: one growing buffer would be copied to ever larger blocks, and the
+# allocator keeps the former ones.
 PART_BYTES = 65_536
 # Share of the limit by which bodies may exceed it: the smaller a body, the
 # more of it, so that a few large ones don't keep the others out.
@@ -118,20 +121,21 @@
         self.is_withdrawn = False
         self._memory = memory
         self._on_withdrawn = on_withdrawn
-        self._data = bytearray()
+        self._parts: list[bytearray] = []
+        self._size = 0
         # Attempts that are sending the data.
         self._senders = 0
         self._releases_when_sent = False
 
     @property
-    def data(self) -> bytearray:
-        """Return the data, which must not be changed or kept."""
-        return self._data
+    def parts(self) -> Sequence[bytearray]:
+        """Return the data in parts, which must not be changed or kept."""
+        return self._parts
 
     @property
     def size(self) -> int:
         """Return the number of bytes that are held."""
-        return len(self._data)
+        return self._size
 
     def try_begin(self, now_s: float) -> bool:
         """Begin to receive, unless there is no room for the whole body."""
@@ -148,7 +152,7 @@
             self, size, self._expected(size), now_s
         ):
             return False
-        self._data += data
+        self._add(data)
         self._memory.held_bytes += len(data)
         return True
 
@@ -167,7 +171,8 @@
         """Free the data and their memory."""
         self._memory.remove_upload(self)
         self._memory.held_bytes -= self.size
-        self._data = bytearray()
+        self._parts = []
+        self._size = 0
 
     def release_when_sent(self) -> None:
         """Free the data once no attempt sends them any more."""
@@ -182,8 +187,10 @@
         """
         self._senders += 1
         try:
-            for start in range(0, self.size, PART_BYTES):
-                yield bytes(self._data[start : start + PART_BYTES])
+            index = 0
+            while index < len(self._parts):
+                yield bytes(self._parts[index])
+                index += 1
         finally:
             self._senders -= 1
             self._release_if_sent()
@@ -192,6 +199,22 @@
         if self._releases_when_sent and not self._senders:
             self.release()
 
+    def _add(self, data: bytes) -> None:
+        start = 0
+        while start < len(data):
+            if not self._parts or len(self._parts[-1]) == PART_BYTES:
+                self._parts.append(bytearray())
+            part = self._parts[-1]
+            end = start + PART_BYTES - len(part)
+            part += data[start:end]
+            start = end
+        self._size += len(data)
+
     def _expected(self, size: int) -> int:
-        """Return the size of the whole body, of which size has come."""
-        return max(size, self.declared_bytes or 0)
+        """Return the size of the whole body, of which size has come.
+
+        A body of unknown length that exceeds one part may become large.
+        """
+        if self.declared_bytes is not None:
+            return max(size, self.declared_bytes)
+        return size if size <= PART_BYTES else self._memory.limit_bytes
--- a/azurewick/entry/request_traits.py
+++ b/azurewick/entry/request_traits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from hashlib import blake2b
 
 from azurewick.entry.models import CallerRequest
@@ -14,7 +15,7 @@
 
 
 def request_traits(
-    request: CallerRequest, customer: str, body: bytes | bytearray
+    request: CallerRequest, customer: str, body: Iterable[bytes | bytearray]
 ) -> tuple[str, ...]:
     """Return the parts of the prompt and the content of a request.
 
@@ -37,11 +38,12 @@
 
 
 def _hash_content(
-    request: CallerRequest, customer: str, body: bytes | bytearray
+    request: CallerRequest, customer: str, body: Iterable[bytes | bytearray]
 ) -> str:
     digest = blake2b(digest_size=HASH_BYTES)
     for text in (request.method, request.host, request.target, customer):
         digest.update(text.encode())
         digest.update(b"\0")
-    digest.update(body)
+    for part in body:
+        digest.update(part)
     return digest.hexdigest()
--- a/tests/entry/builders.py
+++ b/tests/entry/builders.py
@@ -434,7 +434,7 @@
             customer="north",
             rank=(0, 0),
             body=build_body(b"{}"),
-            traits=request_traits(request, "north", b"{}"),
+            traits=request_traits(request, "north", [b"{}"]),
             writer=self.writer,
             check_first_send=self.check_first_send,
         )
