Bound one customer's bodies; leave descriptors to health checks and peers

One of several customers may take four fifths of the bodies' memory, with a checked setting; a full share takes back uploads of the same customer only. Listeners accept no more connections at once than descriptors are left beside those of callers and peers, and the address of the health checks has a limit.

Tests of the account and of the input run without the instance.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -77,6 +77,8 @@
 ANNOUNCED_PEERS = 4
 # Connections on which no request arrives within this time are closed.
 FIRST_REQUEST_TIMEOUT_S = 15.0
+# Connections at the address of the health checks.
+MAX_READY_CONNECTIONS = 32
 
 
 class EntryInstance:
@@ -97,7 +99,9 @@
         self.metrics = EntryMetrics()
         self._client = BackendClient(protocol)
         self._drain = Drain(settings.grace_s)
-        self._body_memory = BodyMemory(settings.body_memory_bytes)
+        self._body_memory = BodyMemory(
+            settings.body_memory_bytes, settings.body_customer_share
+        )
         self._peers = PeerView(settings.name)
         self._watches = FleetWatches(
             store,
@@ -226,7 +230,12 @@
         self._move_writer.start()
         await self.metrics.async_start(settings.metrics_address)
         await self._async_listen(
-            Server(self._async_ready, access_log=None), settings.ready_address
+            CallerServer(
+                self._async_ready,
+                header_timeout_s=FIRST_REQUEST_TIMEOUT_S,
+                max_connections=MAX_READY_CONNECTIONS,
+            ),
+            settings.ready_address,
         )
         self._caller_server = CallerServer(
             self.handler.async_handle,
@@ -308,6 +317,7 @@
         self.settings = settings
         self._drain.grace_s = settings.grace_s
         self._body_memory.limit_bytes = settings.body_memory_bytes
+        self._body_memory.customer_share = settings.body_customer_share
         if self._caller_server is not None:
             self._caller_server.memory.limits = settings.caller_limits
         self._limiter.tolerance = _build_tolerance(settings)
@@ -360,6 +370,10 @@
         notice = self._replicator.notice(now_s)
         if notice is not None:
             self.metrics.configuration_age_s.set({}, notice.age_s)
+        if self._caller_server is not None:
+            self.metrics.caller_bytes.set(
+                {}, self._caller_server.memory.held_bytes
+            )
         return PeerReport(
             name=self.settings.name,
             incarnation=self._incarnation,
@@ -489,7 +503,9 @@
         return json_response({"ready": ready}, status=200 if ready else 503)
 
     async def _async_listen(self, server: Server, address: str) -> None:
-        listener = Listener(server, CLOSE_TIMEOUT_S)
+        listener = Listener(
+            server, CLOSE_TIMEOUT_S, self.settings.listen_backlog
+        )
         self._listeners.append(listener)
         await listener.async_start(address)
 
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -163,6 +163,7 @@
             self._memory,
             declared_bytes=declared_bytes,
             started_s=self._clock(),
+            customer=_sharing_customer(context),
             on_withdrawn=lambda: limit.reschedule(
                 asyncio.get_running_loop().time()
             ),
@@ -268,6 +269,14 @@
         context.quota_cost = cost
 
 
+def _sharing_customer(context: EntryContext) -> str | None:
+    """Return the customer's name, None if it shares with no other one."""
+    assert context.configuration is not None
+    if len(context.configuration.customers) < 2:
+        return None
+    return "" if context.customer is None else context.customer.name
+
+
 def _withdrawn_error() -> AzurewickError:
     return AzurewickError(
         ErrorCode.OVERLOADED,
--- a/azurewick/entry/request_body.py
+++ b/azurewick/entry/request_body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -16,6 +17,8 @@
 RESERVE = 0.25
 # Bodies of this share of the limit or more get nothing of the reserve.
 LARGE_BODY_SHARE = 0.1
+# Default share of the limit that the bodies of one customer may take.
+CUSTOMER_SHARE = 0.8
 # Uploads that take longer than this may lose their memory to other bodies.
 USUAL_UPLOAD_S = 1.0
 
@@ -26,12 +29,17 @@
     It counts received bytes. A declared length takes no memory, and callers
     that declare bodies and send nothing would lock the others out.
 
-    limit_bytes bounds new bodies; it may be changed at any time.
+    limit_bytes bounds new bodies, and customer_share is the share of it that
+    one customer may take; they may be changed at any time.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(
+        self, limit_bytes: int, customer_share: float = CUSTOMER_SHARE
+    ) -> None:
         self.limit_bytes = limit_bytes
+        self.customer_share = customer_share
         self.held_bytes = 0
+        self._held_by_customer: Counter[str] = Counter()
         self._uploads: set[RequestBody] = set()
 
     def has_room(
@@ -56,13 +64,21 @@
         unless that isn't enough.
         """
         others_bytes = self.held_bytes - body.size
-        if self.has_room(others_bytes, size, expected_bytes):
+        same_bytes = self._customer_bytes(body)
+        has_room = self.has_room(others_bytes, size, expected_bytes)
+        if has_room and self._is_in_share(same_bytes, size):
             return True
         withdrawn: list[RequestBody] = []
         for upload in self._long_uploads(body, now_s):
+            is_same = upload.customer == body.customer
+            if has_room and not is_same:
+                # Only the customer's own share is full.
+                continue
             others_bytes -= upload.size
+            same_bytes -= upload.size if is_same else 0
             withdrawn.append(upload)
-            if self.has_room(others_bytes, size, expected_bytes):
+            has_room = self.has_room(others_bytes, size, expected_bytes)
+            if has_room and self._is_in_share(same_bytes, size):
                 break
         else:
             return False
@@ -70,6 +86,15 @@
             upload.withdraw()
         return True
 
+    def add_bytes(self, body: RequestBody, added_bytes: int) -> None:
+        """Count bytes that a body has taken, or fewer than 0 if freed."""
+        self.held_bytes += added_bytes
+        if body.customer is None:
+            return
+        self._held_by_customer[body.customer] += added_bytes
+        if not self._held_by_customer[body.customer]:
+            del self._held_by_customer[body.customer]
+
     def add_upload(self, body: RequestBody) -> None:
         """Count a body as one that is being received."""
         self._uploads.add(body)
@@ -78,6 +103,16 @@
         """Count a body as one that is complete, or has failed."""
         self._uploads.discard(body)
 
+    def _customer_bytes(self, body: RequestBody) -> int:
+        """Return what the other bodies of a body's customer take."""
+        if body.customer is None:
+            return 0
+        return self._held_by_customer[body.customer] - body.size
+
+    def _is_in_share(self, same_bytes: int, size: int) -> bool:
+        limit_bytes = self.limit_bytes * self.customer_share
+        return not same_bytes or same_bytes + size <= limit_bytes
+
     def _long_uploads(
         self, body: RequestBody, now_s: float
     ) -> list[RequestBody]:
@@ -104,8 +139,9 @@
     release() frees them although exceptions and their frames may still refer
     to the body.
 
-    declared_bytes is None if the caller declares no length. on_withdrawn is
-    called when the memory of an upload is taken back.
+    declared_bytes is None if the caller declares no length, and customer if
+    no customer's share bounds the body. on_withdrawn is called when the memory
+    of an upload is taken back.
     """
 
     def __init__(
@@ -114,8 +150,10 @@
         *,
         declared_bytes: int | None,
         started_s: float,
+        customer: str | None = None,
         on_withdrawn: Callable[[], None] | None = None,
     ) -> None:
+        self.customer = customer
         self.started_s = started_s
         self.declared_bytes = declared_bytes
         self.is_withdrawn = False
@@ -153,7 +191,7 @@
         ):
             return False
         self._add(data)
-        self._memory.held_bytes += len(data)
+        self._memory.add_bytes(self, len(data))
         return True
 
     def finish_upload(self) -> None:
@@ -170,7 +208,7 @@
     def release(self) -> None:
         """Free the data and their memory."""
         self._memory.remove_upload(self)
-        self._memory.held_bytes -= self.size
+        self._memory.add_bytes(self, -self.size)
         self._parts = []
         self._size = 0
 
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -15,10 +15,12 @@
 
     Addresses are "IP:port"; other entry instances send datagrams to
     peer_address. link_mbit_per_s is the bandwidth of the instance's own link.
-    regions maps failure domains to regions. body_memory_bytes
-    is the memory that the bodies of requests may take together; caller_limits
-    bound what callers' connections hold beside them. peer_connections is the
-    largest number of connections at peer_address. grace_s is
+    regions maps failure domains to regions. body_memory_bytes is the memory
+    that the bodies of requests may take together, and body_customer_share the
+    share of it for one customer; caller_limits bound what callers' connections
+    hold beside them. peer_connections is the largest number of connections at
+    peer_address, and listen_backlog that of callers' connections that are
+    accepted at once. grace_s is
     the time between SIGTERM and the platform's kill. The limits of retries
     and the tolerance of quotas hold for all entry instances together: in each
     window, retries may reach retry_ratio of the requests and retry_allowance
@@ -43,8 +45,10 @@
     link_mbit_per_s: float = 100.0
     max_connections: int = 600
     body_memory_bytes: int = 67_108_864
+    body_customer_share: float = 0.8
     caller_limits: CallerLimits = CallerLimits()
     peer_connections: int = 400
+    listen_backlog: int = 1024
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
--- a/azurewick/helpers/listener.py
+++ b/azurewick/helpers/listener.py
@@ -17,10 +17,14 @@
 class Listener:
     """HTTP server on one address.
 
-    close_timeout_s is how long running handlers may go on when it closes.
+    close_timeout_s is how long running handlers may go on when it closes, and
+    backlog how many connections may be accepted at once.
     """
 
-    def __init__(self, server: Server, close_timeout_s: float) -> None:
+    def __init__(
+        self, server: Server, close_timeout_s: float, backlog: int = BACKLOG
+    ) -> None:
+        self._backlog = backlog
         self._server = server
         self._runner = ServerRunner(server, shutdown_timeout=close_timeout_s)
         self._socket: socket.socket | None = None
@@ -32,11 +36,13 @@
         self._socket = socket.create_server(
             (host, port),
             family=socket.AF_INET6 if ":" in host else socket.AF_INET,
-            backlog=BACKLOG,
+            backlog=self._backlog,
         )
         self._socket.setblocking(False)
         await self._runner.setup()
-        self._site = SockSite(self._runner, self._socket, backlog=BACKLOG)
+        self._site = SockSite(
+            self._runner, self._socket, backlog=self._backlog
+        )
         await self._site.start()
 
     async def async_stop_listening(self) -> None:
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -10,12 +10,14 @@
 from msgspec import Struct
 import orjson
 
+from azurewick.entry.request_body import CUSTOMER_SHARE
 from azurewick.entry.settings import EntrySettings
 from azurewick.errors import AzurewickError
 from azurewick.errors import ErrorCode
 from azurewick.errors import Step
 from azurewick.helpers.caller_memory import CallerLimits
 from azurewick.helpers.caller_memory import UNREAD_ANSWER_S
+from azurewick.helpers.listener import BACKLOG
 from azurewick.helpers.validation import InvalidDataError
 from azurewick.helpers.validation import validate
 from azurewick.settings.files import read_settings_file
@@ -27,6 +29,11 @@
 # least number.
 PEER_CONNECTION_SHARE = 0.1
 MIN_PEER_CONNECTIONS = 8
+# Descriptors that callers' new connections leave to health checks, backend
+# servers, the store and files. A listener accepts its whole backlog before
+# the limit of connections is applied.
+RESERVED_DESCRIPTORS = 50
+MIN_BACKLOG = 16
 # Share of the memory for the bodies of requests. The process itself, what is
 # received and sent at the time, and what the allocator hasn't returned to the
 # system come on top.
@@ -59,8 +66,9 @@
     """Resource limits of the process.
 
     caller_memory_share is the share of the memory for what callers'
-    connections hold beside bodies; answers that stay unread for
-    unread_answer_s are given up.
+    connections hold beside bodies, and body_customer_share the share of the
+    bodies' memory that one of several customers may take; answers that stay
+    unread for unread_answer_s are given up.
     """
 
     max_fds: Annotated[int, Meta(gt=0, le=2**31)] = 1024
@@ -69,6 +77,7 @@
     caller_memory_share: Annotated[float, Meta(gt=0, le=0.5)] = (
         CALLER_MEMORY_SHARE
     )
+    body_customer_share: Annotated[float, Meta(gt=0, le=1)] = CUSTOMER_SHARE
     unread_answer_s: Annotated[float, Meta(ge=1, le=3600)] = UNREAD_ANSWER_S
 
 
@@ -141,6 +150,12 @@
     host = node.listen.front.rpartition(":")[0]
     first_port = node.port_range[0]
     bounds = node.bounds
+    max_fds = node.limits.max_fds
+    max_connections = int(max_fds * CALLER_CONNECTION_SHARE)
+    peer_connections = max(
+        MIN_PEER_CONNECTIONS, int(max_fds * PEER_CONNECTION_SHARE)
+    )
+    left = max_fds - max_connections - peer_connections - RESERVED_DESCRIPTORS
     return EntrySettings(
         name=node.node_name,
         failure_domain=node.zone,
@@ -152,11 +167,10 @@
         peer_address=f"{host}:{first_port + 1}",
         store_address=node.platform.addr,
         link_mbit_per_s=node.limits.link_mbps,
-        max_connections=int(node.limits.max_fds * CALLER_CONNECTION_SHARE),
-        peer_connections=max(
-            MIN_PEER_CONNECTIONS,
-            int(node.limits.max_fds * PEER_CONNECTION_SHARE),
-        ),
+        max_connections=max_connections,
+        peer_connections=peer_connections,
+        listen_backlog=max(MIN_BACKLOG, min(BACKLOG, left)),
+        body_customer_share=node.limits.body_customer_share,
         caller_limits=CallerLimits(
             memory_bytes=int(
                 node.limits.memory_mb
--- a/tests/entry/test_body_memory.py
+++ b/tests/entry/test_body_memory.py
@@ -73,6 +73,41 @@
         build_body(b"x" * 90_000, memory)
 
 
+class CustomerShareTest(TestCase):
+    """Guards against one customer whose bodies keep all others out."""
+
+    def build_body(self, memory, customer, size, **changes):
+        body = RequestBody(
+            memory,
+            declared_bytes=size,
+            customer=customer,
+            **{"started_s": 0.0, **changes},
+        )
+        return body, body.try_append(b"x" * size, 2.0)
+
+    def test_customer_is_bounded_and_others_have_room(self):
+        memory = BodyMemory(100_000, customer_share=0.6)
+        first, is_held = self.build_body(memory, "a", 50_000)
+        self.assertTrue(is_held)
+        self.assertFalse(self.build_body(memory, "a", 11_000)[1])
+        self.assertTrue(self.build_body(memory, "b", 40_000)[1])
+        first.release()
+        self.assertTrue(self.build_body(memory, "a", 11_000)[1])
+
+    def test_single_body_may_exceed_the_share(self):
+        memory = BodyMemory(100_000, customer_share=0.1)
+        self.assertTrue(self.build_body(memory, "a", 90_000)[1])
+
+    def test_full_share_takes_no_upload_of_another_customer(self):
+        memory = BodyMemory(100_000, customer_share=0.5)
+        for customer in ("a", "b"):
+            body, _ = self.build_body(memory, customer, 40_000)
+            memory.add_upload(body)
+        _, is_held = self.build_body(memory, "a", 15_000, started_s=2.0)
+        self.assertTrue(is_held)
+        self.assertEqual(55_000, memory.held_bytes)
+
+
 class UploadTest(TestCase):
     """Guards against unfinished bodies that keep the memory of others.
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -27,6 +27,20 @@
         # A quarter of 150 MB.
         self.assertEqual(39_321_600, settings.body_memory_bytes)
 
+    def test_limits_of_callers_leave_memory_and_descriptors(self):
+        """Guards against limits that together exceed those of the machine."""
+        for max_fds in (300, 1024, 4100):
+            limits = {"memory_mb": 150, "max_fds": max_fds}
+            settings = parse_node_file(build_node_text(limits=limits))
+            self.assertLess(
+                settings.max_connections
+                + settings.peer_connections
+                + settings.listen_backlog,
+                max_fds,
+            )
+        self.assertEqual(15_728_640, settings.caller_limits.memory_bytes)
+        self.assertEqual(1024, settings.listen_backlog)
+
     def test_error_names_missing_and_invalid_fields(self):
         fields = json.loads(build_node_text())
         del fields["zone"]
@@ -40,6 +54,10 @@
         for changes in (
             {"limits": {"max_fds": "9" * 400}},
             {"limits": {"max_fds": "9" * 5000}},
+            {"limits": {"caller_memory_share": 0}},
+            {"limits": {"caller_memory_share": 0.6}},
+            {"limits": {"body_customer_share": 1.1}},
+            {"limits": {"unread_answer_s": 0.5}},
             {"bounds": {"grace_s": "inf"}},
             {"bounds": {"grace_s": 1e308}},
             {"bounds": {"quota_slack": "nan"}},
--- a/tests/processes/test_abusive_callers.py
+++ b/tests/processes/test_abusive_callers.py
@@ -28,12 +28,8 @@
 LARGEST_FIELDS = "".join(f"X-F{n}: {'v' * 1000}\r\n" for n in range(15))
 
 
-class AbusiveCallersTest(EntryProcessCase):
-    """Guards against callers that end an instance process.
-
-    It would run out of memory or of file descriptors, and the requests of all
-    its callers would end with it.
-    """
+class AbusiveCallersBase(EntryProcessCase):
+    """Test case with an instance process that has low limits."""
 
     large_answer = False
     # Nobody reads the log lines, and a full pipe would block the process.
@@ -62,22 +58,34 @@
         """Check the process while the crowd is connected."""
         await asyncio.sleep(HOLD_S)
         self.large_answer = False
-        folder = Path(f"/proc/{self.process.pid}")
-        self.assertIsNone(self.process.returncode, "the process has ended")
-        self.assertLess(len(list((folder / "fd").iterdir())), MAX_FDS)
+        self.check_limits()
         async with asyncio.timeout(HANG_TIMEOUT_S):
             line = b""
             while b"200 OK" not in line:
                 line = await self.async_exchange(self.port, REQUEST.encode())
                 await asyncio.sleep(0.05)
-        self.assertLess(_peak_bytes(folder), MEMORY_MB * BYTES_PER_MB)
+        self.check_limits()
+
+    def check_limits(self) -> None:
+        """Check that the process lives, its memory and its descriptors."""
         self.assertIsNone(self.process.returncode, "the process has ended")
+        folder = Path(f"/proc/{self.process.pid}")
+        self.assertLess(len(list((folder / "fd").iterdir())), MAX_FDS)
+        self.assertLess(_peak_bytes(folder), MEMORY_MB * BYTES_PER_MB)
 
     async def async_run_crowd(self, callers, parts=(), port=None) -> None:
         crowd = await self.async_begin(port)
         await crowd.async_send(callers, parts)
         await self.async_check()
 
+
+class AbusiveCallersTest(AbusiveCallersBase):
+    """Guards against callers that end an instance process.
+
+    It would run out of memory or of file descriptors, and the requests of all
+    its callers would end with it.
+    """
+
     async def test_bodies_of_large_chunks(self):
         await self.async_run_crowd(
             60, [CHUNKED_HEAD, *repeat(LARGE_CHUNK, 63)]
