Free closed connections at once; keep answers to slow links

An answer counted as unread from the first look at it, so that a caller that read slowly lost it. The time now begins with the first unread byte, and the kernel's output queue tells whether bytes are taken: the kernel asks for more only when a third of its buffer is free. The limit is 15 s.

--- a/azurewick/helpers/caller_connection.py
+++ b/azurewick/helpers/caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from asyncio import BaseTransport
+from asyncio import TimerHandle
 from asyncio import Transport
 from typing import Any
 from typing import cast
@@ -31,6 +32,8 @@
 from azurewick.helpers.caller_input import PARSED_BYTES
 from azurewick.helpers.caller_memory import CallerMemory
 from azurewick.helpers.caller_memory import CloseCause
+from azurewick.helpers.unread_answer import unacknowledged_bytes
+from azurewick.helpers.unread_answer import UnreadAnswer
 
 
 class ConnectionOwner(Protocol):
@@ -103,12 +106,12 @@
     _pending = b""
     # aiohttp forgets the transport before its last bytes are sent.
     _caller_transport: Transport | None = None
-    _unread_bytes = 0
-    _unread_since_s = 0.0
     progress_s = 0.0
+    _request_timer: TimerHandle | None = None
 
     def __init__(self, manager: Server, **kwargs: Any) -> None:
         super().__init__(manager, **kwargs)
+        self._unread = UnreadAnswer()
         self._max_msg_queue_size = MAX_QUEUED_REQUESTS
         self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
 
@@ -141,15 +144,14 @@
             self.force_close()
             return
         owner.add_new(self)
-        self._loop.call_later(
-            owner.header_timeout_s, self._close_without_request, 0
-        )
+        self._start_request_timer(owner, 0)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
         owner = self.owner
         if owner is not None:
             owner.forget(self)
+        self._cancel_request_timer()
         self._pending = b""
         self._payload = None
         self._caller_transport = None
@@ -204,23 +206,14 @@
             held += self._caller_transport.get_write_buffer_size()
         return held + (self._head_bytes or 0)
 
-    def has_unread_answer(self, now_s: float, limit_s: float) -> bool:
-        """Return whether the caller has read nothing for limit_s.
-
-        Until the buffer is full, an answer may grow faster than a slow caller
-        reads it, so that only a full or a last buffer tells.
-        """
+    def unread_answer_s(self, now_s: float) -> float:
+        """Return for how long the caller has read nothing of an answer."""
         transport = self._caller_transport
-        size = 0 if transport is None else transport.get_write_buffer_size()
-        is_last = self._current_request is None
-        if (
-            size < self._unread_bytes
-            or not size
-            or not (self._paused or is_last)
-        ):
-            self._unread_since_s = now_s
-        self._unread_bytes = size
-        return size > 0 and now_s - self._unread_since_s >= limit_s
+        return self._unread.stalled_s(
+            0 if transport is None else unacknowledged_bytes(transport),
+            now_s,
+            may_grow=self._current_request is not None and not self._paused,
+        )
 
     def abort(self) -> None:
         """Close the connection at once, without the bytes that are unsent."""
@@ -302,9 +295,7 @@
             self._add_head_bytes(head_bytes, len(data))
         if was_idle and self._request_count == count:
             assert owner is not None
-            self._loop.call_later(
-                owner.header_timeout_s, self._close_without_request, count
-            )
+            self._start_request_timer(owner, count)
 
     async def finish_response(
         self,
@@ -387,6 +378,20 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def _start_request_timer(
+        self, owner: ConnectionOwner, known_count: int
+    ) -> None:
+        self._cancel_request_timer()
+        self._request_timer = self._loop.call_later(
+            owner.header_timeout_s, self._close_without_request, known_count
+        )
+
+    def _cancel_request_timer(self) -> None:
+        """Cancel the timer, which refers to the connection until its end."""
+        if self._request_timer is not None:
+            self._request_timer.cancel()
+            self._request_timer = None
+
     def _close_without_request(self, known_count: int) -> None:
         """Close unless a request has arrived since the known ones."""
         if self._request_count == known_count:
--- a/azurewick/helpers/caller_memory.py
+++ b/azurewick/helpers/caller_memory.py
@@ -15,7 +15,8 @@
 # Default limit of all connections together.
 LIMIT_BYTES = 33_554_432
 # Default time after which an answer that its caller doesn't read is given up.
-UNREAD_ANSWER_S = 10.0
+# The kernel of a slow caller may take bytes in steps some seconds apart.
+UNREAD_ANSWER_S = 15.0
 
 
 class CloseCause(StrEnum):
--- a/azurewick/helpers/caller_server.py
+++ b/azurewick/helpers/caller_server.py
@@ -215,7 +215,7 @@
         for connection in list(self._connections):
             if not isinstance(connection, CallerConnection):
                 continue
-            if connection.has_unread_answer(now_s, limit_s):
+            if connection.unread_answer_s(now_s) >= limit_s:
                 self.memory.record_close(CloseCause.UNREAD_ANSWER, now_s)
                 connection.abort()
         self._update_memory()
--- a/tests/helpers/test_caller_memory.py
+++ b/tests/helpers/test_caller_memory.py
@@ -8,6 +8,7 @@
 from azurewick.helpers.caller_memory import CallerLimits
 from azurewick.helpers.caller_memory import CallerMemory
 from azurewick.helpers.caller_memory import CloseCause
+from azurewick.helpers.unread_answer import UnreadAnswer
 
 
 @dataclass(eq=False)
@@ -58,3 +59,23 @@
                 self.memory.record_close(CloseCause.MEMORY, now_s)
         self.assertEqual(1, len(logs.records))
         self.assertEqual([CloseCause.MEMORY] * 30, causes)
+
+
+class UnreadAnswerTest(TestCase):
+    """Guards against callers on slow links that lose their answers."""
+
+    def test_only_an_answer_of_which_nothing_is_taken_stalls(self):
+        for sizes, may_grow, expected_s in (
+            ((500, 500, 500), False, 2.0),
+            ((500, 499, 498), False, 0.0),
+            ((500, 500, 499), False, 0.0),
+            ((500, 0, 500), False, 0.0),
+            ((500, 500, 600), True, 0.0),
+        ):
+            with self.subTest(sizes=sizes):
+                unread = UnreadAnswer()
+                for now_s, size in enumerate((1000, *sizes), 70):
+                    stalled_s = unread.stalled_s(
+                        size, now_s, may_grow=may_grow
+                    )
+                self.assertEqual(expected_s, stalled_s)
