--- a/tests/processes/test_abusive_callers.py
+++ b/tests/processes/test_abusive_callers.py
@@ -32,7 +32,7 @@
     """Test case with an instance process that has low limits."""
 
     large_answer = False
-    # Nobody reads the log lines, and a full pipe would block the process.
+    # With a pipe that nobody reads, asyncio's wait for the process hangs.
     stdout = asyncio.subprocess.DEVNULL
 
     async def asyncSetUp(self):
