Answer malformed input before its connection is reset

With reads of 32 KB, input that follows a malformed head was still unread when the connection closed, which resets it, and the caller lost the 431 (tests.gateway.test_bad_input, header flood). The rest is now read and discarded until the caller pauses, for 2 s at most. test_bad_input, test_caller_server and test_caller_input passed (22 of 22), then test_abusive_callers and test_caller_fuzz (19 of 19).

--- a/azurewick/helpers/caller_connection.py
+++ b/azurewick/helpers/caller_connection.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from asyncio import BaseTransport
 from asyncio import TimerHandle
 from asyncio import Transport
 from typing import Any
 from typing import cast
-from typing import Protocol
 
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_exceptions import LineTooLong
@@ -30,66 +30,15 @@
 from azurewick.helpers.caller_input import MAX_QUEUED_REQUESTS
 from azurewick.helpers.caller_input import merge_chunks
 from azurewick.helpers.caller_input import PARSED_BYTES
-from azurewick.helpers.caller_memory import CallerMemory
 from azurewick.helpers.caller_memory import CloseCause
+from azurewick.helpers.connection_owner import ConnectionOwner
 from azurewick.helpers.unread_answer import unacknowledged_bytes
 from azurewick.helpers.unread_answer import UnreadAnswer
 
-
-class ConnectionOwner(Protocol):
-    """Server that limits its connections."""
-
-    header_timeout_s: float
-    max_connections: int
-    max_head_bytes: int
-    memory: CallerMemory
-
-    @property
-    def connection_count(self) -> int:
-        """Return the number of open connections."""
-
-    @property
-    def idle_timeout_s(self) -> float:
-        """Return how long a connection may be idle."""
-
-    def add_idle(self, connection: CallerConnection) -> None:
-        """Count a connection as idle from now on."""
-
-    def remove_idle(self, connection: CallerConnection) -> bool:
-        """Count a connection as used; return whether it was idle."""
-
-    def close_oldest_idle(self) -> bool:
-        """Close the connection that was idle for longest, if there is one."""
-
-    def add_new(self, connection: CallerConnection) -> None:
-        """Count a connection as one that has no request yet."""
-
-    def remove_new(self, connection: CallerConnection) -> None:
-        """Count a connection as one that has had a request."""
-
-    def close_oldest_new(self) -> bool:
-        """Close the one that has been without a request for longest."""
-
-    def forget(self, connection: CallerConnection) -> None:
-        """Forget a connection that has been closed."""
-
-    def keep_memory_limit(self) -> None:
-        """Close connections while they hold more memory than allowed."""
-
-
-class CallerRequest(BaseRequest):
-    """Request whose response announces the limit on idle connections."""
-
-    async def _prepare_hook(self, resp: StreamResponse) -> None:
-        assert isinstance(self.protocol, CallerConnection)
-        owner = self.protocol.owner
-        if resp.keep_alive and owner is not None:
-            timeout_s = int(owner.idle_timeout_s)
-            if self.protocol._close:
-                resp.force_close()
-            elif timeout_s > 0:
-                resp.headers.setdefault("Connection", "keep-alive")
-                resp.headers["Keep-Alive"] = f"timeout={timeout_s}"
+# Longest time in which the rest of malformed input is read, and the pause of
+# its caller that ends it.
+DISCARD_S = 2.0
+DISCARD_POLL_S = 0.1
 
 
 class CallerConnection(RequestHandler):
@@ -107,6 +56,9 @@
     # aiohttp forgets the transport before its last bytes are sent.
     _caller_transport: Transport | None = None
     progress_s = 0.0
+    # The input can't be parsed any further.
+    _is_malformed = False
+    _has_new_input = False
     _request_timer: TimerHandle | None = None
 
     def __init__(self, manager: Server, **kwargs: Any) -> None:
@@ -162,6 +114,7 @@
 
         aiohttp calls this without data when the parser may go on.
         """
+        self._has_new_input = True
         pending = self._pending + data if self._pending else data
         self._pending = b""
         if not pending:
@@ -267,12 +220,28 @@
 
     def _end_input(self, payload: StreamReader) -> None:
         """Discard all further input; the body of a request is malformed."""
+        self._is_malformed = True
         if self._current_request is not None or self._messages:
             payload.set_exception(RequestPayloadError("malformed body"))
         payload.feed_eof()
         self._pending = b""
         self.close()
 
+    async def _async_discard_input(self) -> None:
+        """Read on until the caller pauses, so that it gets its answer.
+
+        The close of a connection with unread input resets it.
+        """
+        self.close()
+        if self.transport is None:
+            return
+        self.transport.resume_reading()
+        for _ in range(round(DISCARD_S / DISCARD_POLL_S)):
+            self._has_new_input = False
+            await asyncio.sleep(DISCARD_POLL_S)
+            if not self._has_new_input:
+                return
+
     def _record_close(self, cause: CloseCause) -> None:
         owner = self.owner
         if owner is not None:
@@ -305,6 +274,8 @@
     ) -> tuple[StreamResponse, bool]:
         """Finish a response; the connection is idle once the body has come."""
         result = await super().finish_response(request, resp, start_time)
+        if self._is_malformed:
+            await self._async_discard_input()
         self._finished_count += 1
         self.progress_s = self._loop.time()
         request.content.on_eof(self._handle_end)
@@ -334,6 +305,7 @@
         """
         if not isinstance(exc, HttpProcessingError):
             return super().handle_error(request, status, exc, message)
+        self._is_malformed = True
         too_large = isinstance(exc, LineTooLong) or "headers" in exc.message
         error = AzurewickError(
             ErrorCode.HEADERS_TOO_LARGE
--- a/azurewick/helpers/caller_server.py
+++ b/azurewick/helpers/caller_server.py
@@ -8,10 +8,10 @@
 from aiohttp.web import BaseRequest
 from aiohttp.web import RequestHandler
 from aiohttp.web import Server
+from aiohttp.web import StreamResponse
 
 from azurewick.const import MAX_HEADER_FIELDS
 from azurewick.helpers.caller_connection import CallerConnection
-from azurewick.helpers.caller_connection import CallerRequest
 from azurewick.helpers.caller_input import BODY_BUFFER_BYTES
 from azurewick.helpers.caller_memory import CallerLimits
 from azurewick.helpers.caller_memory import CallerMemory
@@ -37,6 +37,21 @@
 NEW_CONNECTION_S = 1.0
 
 
+class CallerRequest(BaseRequest):
+    """Request whose response announces the limit on idle connections."""
+
+    async def _prepare_hook(self, resp: StreamResponse) -> None:
+        assert isinstance(self.protocol, CallerConnection)
+        owner = self.protocol.owner
+        if resp.keep_alive and owner is not None:
+            timeout_s = int(owner.idle_timeout_s)
+            if self.protocol._close:
+                resp.force_close()
+            elif timeout_s > 0:
+                resp.headers.setdefault("Connection", "keep-alive")
+                resp.headers["Keep-Alive"] = f"timeout={timeout_s}"
+
+
 class CallerServer(Server):
     """aiohttp server with a connection limit and limits on idle connections.
 
