--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -85,6 +85,8 @@
 ANNOUNCED_PEERS = 4
 # Connections on which no request arrives within this time are closed.
 FIRST_REQUEST_TIMEOUT_S = 15.0
+# Connections at the address of the health checks.
+MAX_READY_CONNECTIONS = 32
 
 
 class EntryInstance:
@@ -109,7 +111,9 @@
         self.metrics = EntryMetrics()
         self._client = BackendClient(protocol)
         self._drain = Drain(settings.grace_s)
-        self._body_memory = BodyMemory(settings.body_memory_bytes)
+        self._body_memory = BodyMemory(
+            settings.body_memory_bytes, settings.body_customer_share
+        )
         self._peers = PeerView(settings.name)
         self._watches = FleetWatches(
             store,
@@ -132,7 +136,9 @@
             on_news=self._announce_configuration,
         )
         self._peer_api = PeerApi(
-            self._replicator.history, self._replicator.peers.is_peer
+            self._replicator.history,
+            self._replicator.peers.is_peer,
+            settings.peer_connections,
         )
         self._random = random
         self._peer_instances: Mapping[str, PeerInstance] = {}
@@ -281,14 +287,21 @@
         )
         await self.metrics.async_start(settings.metrics_address)
         await self._async_listen(
-            Server(self._async_ready, access_log=None), settings.ready_address
+            CallerServer(
+                self._async_ready,
+                header_timeout_s=FIRST_REQUEST_TIMEOUT_S,
+                max_connections=MAX_READY_CONNECTIONS,
+            ),
+            settings.ready_address,
         )
         self._caller_server = CallerServer(
             self.handler.async_handle,
             header_timeout_s=FIRST_REQUEST_TIMEOUT_S,
             max_connections=settings.max_connections,
             max_field_bytes=MAX_FIELD_BYTES,
+            limits=settings.caller_limits,
         )
+        self._caller_server.memory.on_close = self.metrics.count_closed_caller
         self._apply_caller_limits()
         await self._async_listen(self._caller_server, settings.address)
         _LOGGER.info(
@@ -365,6 +378,9 @@
         self.settings = settings
         self._drain.grace_s = settings.grace_s
         self._body_memory.limit_bytes = settings.body_memory_bytes
+        self._body_memory.customer_share = settings.body_customer_share
+        if self._caller_server is not None:
+            self._caller_server.memory.limits = settings.caller_limits
         self._limiter.tolerance = _build_tolerance(settings)
         self._moves.limits = _build_exposure_limits(settings)
         self.cold_servers.tolerance = _build_cold_tolerance(settings)
@@ -431,6 +447,10 @@
         if notice is not None:
             self.metrics.configuration_age_s.set({}, notice.age_s)
         self.metrics.broker_waiting.set({}, self._grants.broker.waiting)
+        if self._caller_server is not None:
+            self.metrics.caller_bytes.set(
+                {}, self._caller_server.memory.held_bytes
+            )
         return PeerReport(
             name=self.settings.name,
             incarnation=self._incarnation,
@@ -591,7 +611,9 @@
         return json_response({"ready": ready}, status=200 if ready else 503)
 
     async def _async_listen(self, server: Server, address: str) -> None:
-        listener = Listener(server, CLOSE_TIMEOUT_S)
+        listener = Listener(
+            server, CLOSE_TIMEOUT_S, self.settings.listen_backlog
+        )
         self._listeners.append(listener)
         await listener.async_start(address)
 
--- a/azurewick/entry/filters.py
+++ b/azurewick/entry/filters.py
@@ -164,6 +164,7 @@
             self._memory,
             declared_bytes=declared_bytes,
             started_s=self._clock(),
+            customer=_sharing_customer(context),
             on_withdrawn=lambda: limit.reschedule(
                 asyncio.get_running_loop().time()
             ),
@@ -194,14 +195,20 @@
         self, content: StreamReader, body: RequestBody, max_bytes: int
     ) -> None:
         async for data in content.iter_any():
-            if body.size + len(data) > max_bytes:
+            size = body.size + len(data)
+            is_added = size <= max_bytes and body.try_append(
+                data, self._clock()
+            )
+            # The tracebacks of the errors keep this frame.
+            del data
+            if size > max_bytes:
                 raise _receive_error(
                     ErrorCode.BODY_TOO_LARGE,
                     f"body exceeds {max_bytes} bytes",
                 )
             if body.is_withdrawn:
                 raise _withdrawn_error()
-            if not body.try_append(data, self._clock()):
+            if not is_added:
                 raise self._no_memory_error(body)
 
     def _no_memory_error(self, body: RequestBody) -> AzurewickError:
@@ -233,7 +240,7 @@
         context.traits = request_traits(
             context.request,
             customer,
-            b"" if context.body is None else context.body.data,
+            () if context.body is None else context.body.parts,
         )
         self._guard.raise_if_culprit(context.traits)
 
@@ -263,6 +270,14 @@
         context.quota_cost = cost
 
 
+def _sharing_customer(context: EntryContext) -> str | None:
+    """Return the customer's name, None if it shares with no other one."""
+    assert context.configuration is not None
+    if len(context.configuration.customers) < 2:
+        return None
+    return "" if context.customer is None else context.customer.name
+
+
 def _withdrawn_error() -> AzurewickError:
     return AzurewickError(
         ErrorCode.OVERLOADED,
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -9,6 +9,7 @@
 from aioprometheus.collectors import Histogram
 
 from azurewick.entry.home_regions import HomeRefusal
+from azurewick.helpers.caller_memory import CloseCause
 from azurewick.helpers.metrics_endpoint import MetricsEndpoint
 
 # Failure domains whose evacuation is shown.
@@ -45,6 +46,16 @@
             "Bytes of request bodies that are held.",
             registry=self.registry,
         )
+        self._closed_callers = Counter(
+            "azurewick_entry_closed_callers_total",
+            "Callers' connections closed for a limit, by limit.",
+            registry=self.registry,
+        )
+        self.caller_bytes = Gauge(
+            "azurewick_entry_caller_bytes",
+            "Bytes held for callers' connections beside the bodies.",
+            registry=self.registry,
+        )
 
         self._slot_asks = Counter(
             "azurewick_entry_slot_asks_total",
@@ -137,6 +148,10 @@
         """Record the end of an ask for a slot."""
         self._slot_asks.inc({"outcome": outcome})
 
+    def count_closed_caller(self, cause: CloseCause) -> None:
+        """Record a caller's connection that was closed for a limit."""
+        self._closed_callers.inc({"cause": cause.value})
+
     def count_configuration(self, source: str, revision: int) -> None:
         """Record a configuration that has come into force."""
         self._configurations.inc({"source": source})
--- a/azurewick/helpers/caller_server.py
+++ b/azurewick/helpers/caller_server.py
@@ -2,24 +2,20 @@
 
 from __future__ import annotations
 
-from asyncio import BaseTransport
 from asyncio import TimerHandle
 from typing import Any
 
-from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_exceptions import LineTooLong
-from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web import BaseRequest
-from aiohttp.web import json_response
 from aiohttp.web import RequestHandler
 from aiohttp.web import Server
 from aiohttp.web import StreamResponse
-from aiohttp.web_protocol import _ErrInfo
 
 from azurewick.const import MAX_HEADER_FIELDS
-from azurewick.errors import AzurewickError
-from azurewick.errors import ErrorCode
-from azurewick.errors import Step
+from azurewick.helpers.caller_connection import CallerConnection
+from azurewick.helpers.caller_input import BODY_BUFFER_BYTES
+from azurewick.helpers.caller_memory import CallerLimits
+from azurewick.helpers.caller_memory import CallerMemory
+from azurewick.helpers.caller_memory import CloseCause
 
 # Load balancers commonly keep idle connections open for as long as this.
 KEEPALIVE_S = 75.0
@@ -35,163 +31,27 @@
 MAX_FIELD_BYTES = 8190
 # Limit of a whole request head until the configuration has another one.
 MAX_HEAD_BYTES = 65_536
+# Interval at which the memory and the unread answers are looked at.
+SWEEP_INTERVAL_S = 1.0
+# A connection without a request may be closed for a new one after this time.
+NEW_CONNECTION_S = 1.0
 
 
 class CallerRequest(BaseRequest):
     """Request whose response announces the limit on idle connections."""
 
     async def _prepare_hook(self, resp: StreamResponse) -> None:
-        manager = self.protocol._manager
-        if resp.keep_alive and isinstance(manager, CallerServer):
-            timeout_s = int(manager.idle_timeout_s)
-            if timeout_s > 0:
+        assert isinstance(self.protocol, CallerConnection)
+        owner = self.protocol.owner
+        if resp.keep_alive and owner is not None:
+            timeout_s = int(owner.idle_timeout_s)
+            if self.protocol._close:
+                resp.force_close()
+            elif timeout_s > 0:
                 resp.headers.setdefault("Connection", "keep-alive")
                 resp.headers["Keep-Alive"] = f"timeout={timeout_s}"
 
 
-class CallerConnection(RequestHandler):
-    """Caller's connection, closed if no request arrives in time."""
-
-    _finished_count = 0
-    # Bytes of an incomplete head, None while no head is being received.
-    _head_bytes: int | None = 0
-
-    def connection_made(self, transport: BaseTransport) -> None:
-        """Close the connection if there is no room, or if no request arrives.
-
-        Room is made by the connection that has been idle for longest.
-        """
-        super().connection_made(transport)
-        manager = self._manager
-        if not isinstance(manager, CallerServer):
-            return
-        if (
-            manager.connection_count > manager.max_connections
-            and not manager.close_oldest_idle()
-        ):
-            self.force_close()
-            return
-        self._loop.call_later(
-            manager.header_timeout_s, self._close_without_request, 0
-        )
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Forget the connection."""
-        manager = self._manager
-        if isinstance(manager, CallerServer):
-            manager.remove_idle(self)
-        super().connection_lost(exc)
-
-    def data_received(self, data: bytes) -> None:
-        """Handle data; the connection isn't idle from the first byte on."""
-        manager = self._manager
-        was_idle = isinstance(manager, CallerServer) and manager.remove_idle(
-            self
-        )
-        count = self._request_count
-        head_bytes = self._head_bytes
-        super().data_received(data)
-        if self._request_count > count:
-            self._head_bytes = None
-        elif head_bytes is not None:
-            # None if these were the last bytes of a body, which may come after
-            # the response and leave the connection idle.
-            self._add_head_bytes(head_bytes, len(data))
-        if was_idle and self._request_count == count:
-            assert isinstance(manager, CallerServer)
-            self._loop.call_later(
-                manager.header_timeout_s, self._close_without_request, count
-            )
-
-    async def finish_response(
-        self,
-        request: BaseRequest,
-        resp: StreamResponse,
-        start_time: float | None,
-    ) -> tuple[StreamResponse, bool]:
-        """Finish a response; the connection is idle once the body has come."""
-        result = await super().finish_response(request, resp, start_time)
-        self._finished_count += 1
-        request.content.on_eof(self._handle_end)
-        return result
-
-    def close(self) -> None:
-        """Close the connection after its requests, at once without any.
-
-        aiohttp would keep a connection that has just been accepted until the
-        shutdown timeout, and discard what it receives.
-        """
-        super().close()
-        if self._request_count == 0:
-            self.force_close()
-
-    def handle_error(
-        self,
-        request: BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> StreamResponse:
-        """Return the error response to a request that can't be parsed.
-
-        aiohttp would log a traceback for each one, so that a flood of
-        malformed requests could fill the log.
-        """
-        if not isinstance(exc, HttpProcessingError):
-            return super().handle_error(request, status, exc, message)
-        too_large = isinstance(exc, LineTooLong) or "headers" in exc.message
-        error = AzurewickError(
-            ErrorCode.HEADERS_TOO_LARGE
-            if too_large
-            else ErrorCode.INVALID_REQUEST,
-            "request head is too large or malformed",
-            step=Step.RECEIVE,
-        )
-        response = json_response(error.as_body(), status=error.http_status)
-        response.force_close()
-        return response
-
-    def _handle_end(self) -> None:
-        manager = self._manager
-        if (
-            isinstance(manager, CallerServer)
-            and self._finished_count == self._request_count
-        ):
-            manager.add_idle(self)
-            self._head_bytes = 0
-
-    def _add_head_bytes(self, head_bytes: int, added_bytes: int) -> None:
-        """Refuse a request whose head has become too large.
-
-        aiohttp limits each field and their number, but keeps all of them in
-        memory until the head is complete.
-        """
-        manager = self._manager
-        if not isinstance(manager, CallerServer):
-            return
-        self._head_bytes = head_bytes + added_bytes
-        if self._head_bytes <= manager.max_head_bytes:
-            return
-        self._head_bytes = None
-        error = HttpProcessingError(
-            message=f"headers exceed {manager.max_head_bytes} bytes"
-        )
-        self._request_count += 1
-        self._messages.append(
-            (
-                _ErrInfo(status=400, exc=error, message=error.message),
-                EMPTY_PAYLOAD,
-            )
-        )
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    def _close_without_request(self, known_count: int) -> None:
-        """Close unless a request has arrived since the known ones."""
-        if self._request_count == known_count:
-            self.force_close()
-
-
 class CallerServer(Server):
     """aiohttp server with a connection limit and limits on idle connections.
 
@@ -207,6 +67,7 @@
         header_timeout_s: float,
         max_connections: int,
         max_field_bytes: int = MAX_FIELD_BYTES,
+        limits: CallerLimits | None = None,
     ) -> None:
         super().__init__(
             handler,
@@ -216,6 +77,7 @@
             access_log=None,
             auto_decompress=False,
             lingering_time=LINGERING_S,
+            read_bufsize=BODY_BUFFER_BYTES,
             max_headers=MAX_HEADER_FIELDS,
             max_line_size=max_field_bytes,
             max_field_size=max_field_bytes,
@@ -228,6 +90,10 @@
         # Idle connections with the times since when, the oldest first.
         self._idle_since_s: dict[CallerConnection, float] = {}
         self._timer: TimerHandle | None = None
+        # Connections without a request, the oldest first.
+        self._new_since_s: dict[CallerConnection, float] = {}
+        self.memory = CallerMemory(limits or CallerLimits())
+        self._sweep_timer: TimerHandle | None = None
 
     @property
     def connection_count(self) -> int:
@@ -245,6 +111,7 @@
         return (
             self.connection_count >= self.max_connections
             and not self._idle_since_s
+            and not self._has_old_new()
         )
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
@@ -273,8 +140,55 @@
         connection.force_close()
         return True
 
+    def add_new(self, connection: CallerConnection) -> None:
+        """Count a connection as one that has no request yet."""
+        self._new_since_s[connection] = self._loop.time()
+        if self._sweep_timer is None:
+            self._sweep_timer = self._loop.call_later(
+                SWEEP_INTERVAL_S, self._sweep
+            )
+
+    def remove_new(self, connection: CallerConnection) -> None:
+        """Count a connection as one that has had a request."""
+        self._new_since_s.pop(connection, None)
+
+    def close_oldest_new(self) -> bool:
+        """Close the connection that has been without a request for longest.
+
+        Connections that have just been opened stay.
+        """
+        if not self._has_old_new():
+            return False
+        connection = next(iter(self._new_since_s))
+        del self._new_since_s[connection]
+        self.memory.record_close(CloseCause.CONNECTIONS, self._loop.time())
+        connection.force_close()
+        return True
+
+    def forget(self, connection: CallerConnection) -> None:
+        """Forget a connection that has been closed."""
+        self.remove_idle(connection)
+        self.remove_new(connection)
+        self.memory.remove(connection)
+
+    def keep_memory_limit(self) -> None:
+        """Close connections while they hold more memory than allowed."""
+        if self.memory.held_bytes <= self.memory.limits.memory_bytes:
+            return
+        now_s = self._loop.time()
+        # What was held may have been taken meanwhile.
+        self._update_memory()
+        for connection in self.memory.choose_closed(now_s):
+            assert isinstance(connection, CallerConnection)
+            self.memory.record_close(CloseCause.MEMORY, now_s)
+            self.memory.remove(connection)
+            connection.abort()
+
     def pre_shutdown(self) -> None:
         """Close idle connections, and the others after their requests."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -296,6 +210,36 @@
             message, payload, protocol, writer, task, self._loop
         )
 
+    def _has_old_new(self) -> bool:
+        since_s = next(iter(self._new_since_s.values()), None)
+        return (
+            since_s is not None
+            and self._loop.time() - since_s >= NEW_CONNECTION_S
+        )
+
+    def _update_memory(self) -> None:
+        for connection in self._connections:
+            if isinstance(connection, CallerConnection):
+                self.memory.update(connection, connection.held_bytes())
+
+    def _sweep(self) -> None:
+        """Close connections whose callers don't read; renew the account."""
+        self._sweep_timer = None
+        now_s = self._loop.time()
+        limit_s = self.memory.limits.unread_answer_s
+        for connection in list(self._connections):
+            if not isinstance(connection, CallerConnection):
+                continue
+            if connection.unread_answer_s(now_s) >= limit_s:
+                self.memory.record_close(CloseCause.UNREAD_ANSWER, now_s)
+                connection.abort()
+        self._update_memory()
+        self.keep_memory_limit()
+        if self._connections:
+            self._sweep_timer = self._loop.call_later(
+                SWEEP_INTERVAL_S, self._sweep
+            )
+
     def _close_expired(self) -> None:
         now_s = self._loop.time()
         while self._idle_since_s:
