Learn the limit of concurrent requests of each server

Engines got up to their announced slots and plain servers twice theirs, although some slow down long before, so that more requests only raised the latency.

With learns_capacity (off by default), each instance fits a load curve to the answers of all instances: the logarithm of the slowdown against that of the load, relative to means of the last seconds, so that a change of the server's own speed isn't taken for crowding. A bend that is steep and certain lowers the limit; it rises by steps, and few probes exceed it. The speed of the last 2 s also rates the server.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -46,6 +46,7 @@
 from azurewick.entry.reload import SettingsReloader
 from azurewick.entry.report_codec import OUTCOME_UNIT
 from azurewick.entry.request_body import BodyMemory
+from azurewick.entry.server_learning import ServerLearning
 from azurewick.entry.services import ServicePools
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.speeds import SpeedSample
@@ -148,9 +149,11 @@
             monotonic_s(),
         )
         self.state.on_change.append(lambda: self._moves.update(monotonic_s()))
+        self.state.on_change.append(self._forget_absent)
         self._move_writer = MoveWriter(
             store, kinds.moves, self._moves, monotonic_s
         )
+        self._learning = ServerLearning(settings, self._peers, random)
         self.pools = ServicePools(
             settings=settings,
             state=self.state,
@@ -159,6 +162,7 @@
             peers=self._peers,
             crash_guard=self._crash_guard,
             moves=self._moves,
+            learning=self._learning,
             clock=monotonic_s,
             random=random,
         )
@@ -323,8 +327,16 @@
             }
         )
         self._gossip.set_peers(peers)
+        self._forget_absent()
         self.pools.split_retry_budgets()
 
+    def _forget_absent(self) -> None:
+        """Forget what was learned of servers and peers that have left."""
+        self._learning.forget(
+            (backend.name for backend in self.state.registry),
+            self._peer_instances,
+        )
+
     def _announce_configuration(self, is_from_store: bool) -> None:
         """Tell peers at once that this instance has a new configuration.
 
@@ -354,6 +366,7 @@
         notice = self._replicator.notice(now_s)
         if notice is not None:
             self.metrics.configuration_age_s.set({}, notice.age_s)
+        self._learning.update_metrics(self.metrics)
         return PeerReport(
             name=self.settings.name,
             incarnation=self._incarnation,
@@ -366,6 +379,7 @@
             },
             outcomes=self._recent_outcomes(now_s),
             speeds=self._recent_speeds(now_s),
+            capacity=self._learning.capacity_report(now_s),
             quota_used=self._limiter.used(),
             suspicions=self._crash_guard.suspicions(),
             convictions=self._crash_guard.convictions(),
@@ -428,6 +442,7 @@
                     has_lost_store, now_s
                 ),
             )
+        self._learning.record_report(report, self.state.registry.find, now_s)
         self._crash_guard.record_peer(report.suspicions, report.convictions)
         self._moves.record_peer(
             report.name, report.incarnation, report.moves, now_s
--- a/azurewick/entry/backends.py
+++ b/azurewick/entry/backends.py
@@ -131,6 +131,10 @@
     def __iter__(self) -> Iterator[Backend]:
         return iter(self._backends.values())
 
+    def find(self, name: str) -> Backend | None:
+        """Return the server with a name."""
+        return self._backends.get(name)
+
     def of_service(self, service: str) -> list[Backend]:
         """Return the servers of a service."""
         return self._by_service.get(service, [])
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import field
 from logging import getLogger
 
 from aiohttp import ClientError
@@ -35,6 +36,7 @@
 from azurewick.entry.request_body import RequestBody
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.request_queue import Rank
+from azurewick.entry.server_learning import ServerLearning
 from azurewick.entry.stall_watchdog import StalledError
 from azurewick.entry.stall_watchdog import StallWatchdog
 from azurewick.entry.trace import AttemptTrace
@@ -108,6 +110,7 @@
     record_departure: Callable[[Departure], None]
     servers_age_s: Callable[[], float | None]
     clock: Callable[[], float]
+    learning: ServerLearning = field(default_factory=ServerLearning)
 
 
 class Exchange:
@@ -144,6 +147,8 @@
         self._tries_new_version = False
         # Server of the current attempt.
         self._backend: Backend | None = None
+        # Number of requests at that server when the attempt began.
+        self._sent_load = 0.0
         self._runs = 0
         # Whether a server has gone on after it had begun the answer.
         self._is_sound = False
@@ -262,6 +267,7 @@
         self._tried.add(backend.name)
         self._runs += 1
         self._backend = backend
+        self._sent_load = self._parts.learning.load(backend, now_s)
         self._parts.moves.record_sent(self._route, backend)
         call = BackendCall(
             request=self._request,
@@ -528,8 +534,10 @@
         now_s = self._parts.clock()
         work = measure_work(self._request, tokens)
         backend.record_slowdown(now_s - sent_s, work.total_s, now_s)
-        self._parts.moves.record_total(
-            self._route, backend, (now_s - sent_s) / work.total_s, now_s
+        slowdown = (now_s - sent_s) / work.total_s
+        self._parts.moves.record_total(self._route, backend, slowdown, now_s)
+        self._parts.learning.record_answer(
+            backend, self._sent_load, slowdown, now_s
         )
         attempt = self.trace.attempts[-1]
         if attempt.first_byte_s is not None:
@@ -552,8 +560,12 @@
         backend.record_success(now_s)
         if not self._route.is_stream:
             backend.record_slowdown(now_s - sent_s, NOMINAL_PLAIN_S, now_s)
+            slowdown = (now_s - sent_s) / NOMINAL_PLAIN_S
             self._parts.moves.record_total(
-                self._route, backend, (now_s - sent_s) / NOMINAL_PLAIN_S, now_s
+                self._route, backend, slowdown, now_s
+            )
+            self._parts.learning.record_answer(
+                backend, self._sent_load, slowdown, now_s
             )
 
     def _first_output_timeout_s(self) -> float | None:
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -18,6 +18,7 @@
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.report_codec import decode_report
 from azurewick.entry.report_codec import encode_report
+from azurewick.entry.server_capacity import CapacityReport
 from azurewick.errors import AzurewickError
 from azurewick.helpers.address import split_address
 from azurewick.helpers.clock import monotonic_s
@@ -43,6 +44,11 @@
 # Speeds are sent once in this many rounds: they change over seconds. It is a
 # multiple of REMOTE_REPORT_ROUNDS.
 SPEED_REPORT_ROUNDS = 10
+# Measurements of the capacity are sent once in this many rounds, so that a
+# limit follows a server within seconds. From CAPACITY_FLEET_INSTANCES on they
+# are sent as often as speeds, as their volume grows with the square.
+CAPACITY_REPORT_ROUNDS = 2
+CAPACITY_FLEET_INSTANCES = 100
 
 
 class PeerGossip(DatagramProtocol):
@@ -108,7 +114,12 @@
         if self._transport is None:
             return
         data = encode_report(
-            replace(self._next_report(), speeds={}, outcomes=None)
+            replace(
+                self._next_report(),
+                speeds={},
+                outcomes=None,
+                capacity=CapacityReport(),
+            )
         )
         for name, address in self._peer_addresses.items():
             if names is None or name in names:
@@ -155,6 +166,8 @@
         self._rounds += 1
         if self._rounds % SPEED_REPORT_ROUNDS:
             report = replace(report, speeds={})
+        if self._rounds % self._capacity_rounds:
+            report = replace(report, capacity=CapacityReport())
         if self._is_large_fleet and self._rounds % OUTCOME_REPORT_ROUNDS:
             report = replace(report, outcomes=None)
         data = encode_report(report)
@@ -183,6 +196,12 @@
     def _is_large_fleet(self) -> bool:
         return len(self._peer_addresses) >= LARGE_FLEET_INSTANCES
 
+    @property
+    def _capacity_rounds(self) -> int:
+        if len(self._peer_addresses) >= CAPACITY_FLEET_INSTANCES:
+            return SPEED_REPORT_ROUNDS
+        return CAPACITY_REPORT_ROUNDS
+
     @property
     def _interval_s(self) -> float:
         if self._is_large_fleet:
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -38,6 +38,16 @@
             registry=self.registry,
         )
 
+        self.capacity_limits = Gauge(
+            "azurewick_entry_capacity_limits",
+            "Sum of the learned limits of concurrent requests, by service.",
+            registry=self.registry,
+        )
+        self.limited_servers = Gauge(
+            "azurewick_entry_limited_servers",
+            "Servers whose learned limit is below the usual, by service.",
+            registry=self.registry,
+        )
         self._configurations = Counter(
             "azurewick_entry_configurations_total",
             "Configurations received, by source: store or peer.",
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -10,6 +10,7 @@
 
 from azurewick.entry.departures import Departure
 from azurewick.entry.outcomes import OutcomeCount
+from azurewick.entry.server_capacity import CapacityReport
 from azurewick.entry.slot_shares import SlotShares
 from azurewick.entry.speeds import SpeedSample
 from azurewick.entry.version_moves import MoveReport
@@ -66,7 +67,7 @@
     outage of the store in which entries of live servers may have expired.
     list_age_s is the time since the store has confirmed the sender's list of
     the servers, None before that. configuration is None before the sender has
-    one.
+    one. capacity is empty in reports without it.
     """
 
     name: str
@@ -88,6 +89,7 @@
     has_lost_store: bool = False
     list_age_s: float | None = None
     configuration: ConfigurationNotice | None = None
+    capacity: CapacityReport = CapacityReport()
 
 
 @dataclass(slots=True)
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -15,10 +15,9 @@
 from azurewick.entry.ratings import Ratings
 from azurewick.entry.ratings import ServerRater
 from azurewick.entry.request_queue import Demand
+from azurewick.entry.server_capacity import AnnouncedCapacity
+from azurewick.entry.server_capacity import CapacityPolicy
 
-# Limit of requests at a server of a plain service, as a multiple of its
-# slots. The server queues the rest, which costs less than a refusal.
-PLAIN_SLOT_FACTOR = 2.0
 # Cost added for a server in another region, on the scale of the load: the
 # link between regions has little bandwidth and is billed by volume.
 REGION_PENALTY = 0.35
@@ -89,13 +88,15 @@
         regions: Mapping[str, str],
         random: Random,
         peers: PeerView,
+        capacity: CapacityPolicy | None = None,
     ) -> None:
         self._peers = peers
+        self._capacity = capacity or AnnouncedCapacity()
         self._failure_domain = failure_domain
         self._regions = regions
         self._region = regions.get(failure_domain, "")
         self._random = random
-        self._rater = ServerRater(peers)
+        self._rater = ServerRater(peers, self._capacity)
 
     def capacity(self, candidates: Sequence[Backend], now_s: float) -> float:
         """Return the nominal work a second that this instance may place."""
@@ -174,7 +175,9 @@
                 (
                     backend,
                     shares.available(
-                        _total_slots(backend), backend.name, backend.in_flight
+                        self._capacity.limit(backend, now_s),
+                        backend.name,
+                        backend.in_flight,
                     ),
                 )
             )
@@ -191,7 +194,8 @@
         found = []
         for backend, _ in usable:
             if backend.is_engine:
-                unused = shares.unused(backend.entry.slots, backend.name)
+                total = self._capacity.limit(backend, now_s)
+                unused = shares.unused(total, backend.name)
                 if unused - backend.in_flight >= OPEN_SLOTS:
                     found.append((backend, unused))
         return found
@@ -275,12 +279,6 @@
         return REGION_PENALTY
 
 
-def _total_slots(backend: Backend) -> int:
-    if backend.is_engine:
-        return backend.entry.slots
-    return round(backend.entry.slots * PLAIN_SLOT_FACTOR)
-
-
 def _lateness_steps(demand: Demand, slowdown: float, now_s: float) -> int:
     """Return by how much the first output may miss the target.
 
--- a/azurewick/entry/ratings.py
+++ b/azurewick/entry/ratings.py
@@ -11,6 +11,8 @@
 from azurewick.entry.outcomes import find_suspects
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import PeerView
+from azurewick.entry.server_capacity import AnnouncedCapacity
+from azurewick.entry.server_capacity import CapacityPolicy
 from azurewick.entry.speeds import SpeedSample
 
 _LOGGER = getLogger(__name__)
@@ -37,8 +39,11 @@
 class ServerRater:
     """Rates servers by the measurements of all instances."""
 
-    def __init__(self, peers: PeerView) -> None:
+    def __init__(
+        self, peers: PeerView, capacity: CapacityPolicy | None = None
+    ) -> None:
         self._peers = peers
+        self._capacity = capacity or AnnouncedCapacity()
         # Latest ratings by the names of the servers, with their time.
         self._cache: dict[tuple[str, ...], tuple[Ratings, float]] = {}
         # Servers that failed more than others at the last check.
@@ -68,7 +73,11 @@
             for backend in backends
         }
         slowdowns = {
-            backend.name: samples[backend.name].mean_slowdown(backend.slowdown)
+            backend.name: self._capacity.slowdown(
+                backend,
+                samples[backend.name].mean_slowdown(backend.slowdown),
+                now_s,
+            )
             for backend in backends
         }
         return Ratings(
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -12,6 +12,8 @@
 
 import orjson
 
+from azurewick.entry.capacity_codec import encode_capacity
+from azurewick.entry.capacity_codec import read_capacity
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import DepartureSource
 from azurewick.entry.outcomes import OutcomeCount
@@ -61,6 +63,7 @@
 KEY_HAS_LOST_STORE = "y"
 KEY_LIST_AGE = "r"
 KEY_CONFIGURATION = "g"
+KEY_CAPACITY = "h"
 # Sources of departures in reports, by index.
 DEPARTURE_SOURCES = tuple(DepartureSource)
 
@@ -122,6 +125,8 @@
         fields[KEY_LIST_AGE] = round(report.list_age_s / AGE_UNIT_S)
     if report.configuration is not None:
         fields[KEY_CONFIGURATION] = _encode_notice(report.configuration)
+    if report.capacity:
+        fields[KEY_CAPACITY] = encode_capacity(report.capacity)
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -154,6 +159,7 @@
             list_age_s=_read_age(body.get(KEY_LIST_AGE)),
             configuration=_read_notice(body.get(KEY_CONFIGURATION)),
             has_lost_store=body.get(KEY_HAS_LOST_STORE) is True,
+            capacity=read_capacity(body.get(KEY_CAPACITY)),
         )
     except (
         AttributeError,
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -19,6 +19,7 @@
 from azurewick.entry.protocols import WireProtocol
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
+from azurewick.entry.server_learning import ServerLearning
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.state import FleetState
 from azurewick.entry.state import SOURCE_SERVER
@@ -46,6 +47,7 @@
         peers: PeerView,
         crash_guard: CrashGuard,
         moves: VersionMoves,
+        learning: ServerLearning,
         clock: Callable[[], float],
         random: Random,
     ) -> None:
@@ -63,7 +65,9 @@
             regions=settings.regions,
             random=random,
             peers=peers,
+            capacity=learning.capacity,
         )
+        self._learning = learning
         self._peers = peers
         self._crash_guard = crash_guard
         self._moves = moves
@@ -151,6 +155,7 @@
             request_ages=self._request_ages,
             crash_guard=self._crash_guard,
             moves=self._moves,
+            learning=self._learning,
             tokens_per_event=partial(self._tokens_per_event, service),
             record_departure=partial(
                 self._state.record_departure, source=SOURCE_SERVER
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -24,7 +24,8 @@
     exposure_allowance more. In any second, all instances together may send a
     cold server cold_overage times the rate that it takes, and cold_allowance
     requests more. follows_evacuations is set where operators may order that
-    a failure domain's servers get no requests.
+    a failure domain's servers get no requests. With learns_capacity the limit
+    of concurrent requests of each server is learned from its latencies.
     """
 
     name: str
@@ -51,3 +52,4 @@
     cold_overage: float = 1.0
     cold_allowance: float = 0.0
     follows_evacuations: bool = False
+    learns_capacity: bool = False
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -85,6 +85,12 @@
     evacuate_ms: Amount | None = None
 
 
+class LearningTable(Struct, frozen=True):
+    """What instances learn from measurements, in place of fixed values."""
+
+    learns_capacity: bool = False
+
+
 class StoreTable(Struct, frozen=True):
     """Address of the platform's store."""
 
@@ -102,6 +108,7 @@
     listen: ListenTable
     limits: LimitsTable = LimitsTable()
     bounds: BoundsTable = BoundsTable()
+    learning: LearningTable = LearningTable()
     platform: StoreTable
     # First and last port for the processes of the scheduler. The first one
     # serves the metrics; the second one receives messages of peers.
@@ -151,6 +158,7 @@
         cold_overage=bounds.cold_overage,
         cold_allowance=bounds.cold_slack,
         follows_evacuations=bounds.evacuate_ms is not None,
+        learns_capacity=node.learning.learns_capacity,
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,6 +36,14 @@
         self.assertIn("zone", caught.exception.message)
         self.assertIn("platform.addr", caught.exception.message)
 
+    def test_learning_is_off_unless_it_is_switched_on(self):
+        settings = parse_node_file(build_node_text())
+        self.assertFalse(settings.learns_capacity)
+        text = build_node_text(learning={"learns_capacity": True})
+        self.assertTrue(parse_node_file(text).learns_capacity)
+        with self.assertRaises(AzurewickError):
+            parse_node_file(build_node_text(learning={"learns_capacity": 2}))
+
     def test_odd_numbers_are_invalid(self):
         for changes in (
             {"limits": {"max_fds": "9" * 400}},
