Learn the times of each service's engines

Prompt processing, first token and step were constants of one nominal engine (8 µs a prompt token, 4.2 ms a step, no growth with the batch), while engines here differ by service.

With learns_engine_times (off by default) the constants are the prior of a regression by service over the streams of all instances, with a factor by server. It gives the expected work of requests, and the nominal time by which a server's slowdown is measured at its load, so that a full engine doesn't count as a slow one. As only the ratios matter, the times are scaled to a reference request. Reports carry the sums of at most 8 services, once in 40 rounds.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -380,6 +380,7 @@
             outcomes=self._recent_outcomes(now_s),
             speeds=self._recent_speeds(now_s),
             capacity=self._learning.capacity_report(now_s),
+            engine_times=self._learning.times_report(now_s),
             quota_used=self._limiter.used(),
             suspicions=self._crash_guard.suspicions(),
             convictions=self._crash_guard.convictions(),
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -258,7 +258,7 @@
         """Return the expected work, which is estimated once a request."""
         if self._work is None:
             self._work = self._parts.work_estimator.estimate(
-                self._route, self._request
+                self._route, self._request, self._parts.service
             )
         return self._work
 
@@ -532,20 +532,30 @@
             self._route, self._request, tokens
         )
         now_s = self._parts.clock()
-        work = measure_work(self._request, tokens)
-        backend.record_slowdown(now_s - sent_s, work.total_s, now_s)
-        slowdown = (now_s - sent_s) / work.total_s
-        self._parts.moves.record_total(self._route, backend, slowdown, now_s)
-        self._parts.learning.record_answer(
-            backend, self._sent_load, slowdown, now_s
+        nominal_s = measure_work(self._request, tokens).total_s
+        took_s = now_s - sent_s
+        self._parts.moves.record_total(
+            self._route, backend, took_s / nominal_s, now_s
         )
         attempt = self.trace.attempts[-1]
-        if attempt.first_byte_s is not None:
-            backend.speeds.add_first(
-                attempt.first_byte_s - attempt.sent_s,
-                work.first_token_s,
-                now_s,
-            )
+        first_s = (
+            None
+            if attempt.first_byte_s is None
+            else attempt.first_byte_s - attempt.sent_s
+        )
+        work = self._parts.learning.record_stream(
+            backend,
+            self._request,
+            load=self._sent_load,
+            output_tokens=tokens,
+            first_event_tokens=self._parts.tokens_per_event(),
+            first_s=first_s,
+            took_s=took_s,
+            now_s=now_s,
+        )
+        backend.record_slowdown(took_s, work.total_s, now_s)
+        if first_s is not None:
+            backend.speeds.add_first(first_s, work.first_token_s, now_s)
 
     def _record_answer(
         self, backend: Backend, head: AnswerHead, sent_s: float
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -49,6 +49,8 @@
 # are sent as often as speeds, as their volume grows with the square.
 CAPACITY_REPORT_ROUNDS = 2
 CAPACITY_FLEET_INSTANCES = 100
+# Times of engines are sent once in this many rounds: they hardly change.
+TIMES_REPORT_ROUNDS = 40
 
 
 class PeerGossip(DatagramProtocol):
@@ -119,6 +121,7 @@
                 speeds={},
                 outcomes=None,
                 capacity=CapacityReport(),
+                engine_times={},
             )
         )
         for name, address in self._peer_addresses.items():
@@ -166,6 +169,8 @@
         self._rounds += 1
         if self._rounds % SPEED_REPORT_ROUNDS:
             report = replace(report, speeds={})
+        if self._rounds % TIMES_REPORT_ROUNDS:
+            report = replace(report, engine_times={})
         if self._rounds % self._capacity_rounds:
             report = replace(report, capacity=CapacityReport())
         if self._is_large_fleet and self._rounds % OUTCOME_REPORT_ROUNDS:
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -48,6 +48,16 @@
             "Servers whose learned limit is below the usual, by service.",
             registry=self.registry,
         )
+        self.engine_step_s = Gauge(
+            "azurewick_entry_engine_step_seconds",
+            "Learned time of a step at the mean load, by service.",
+            registry=self.registry,
+        )
+        self.engine_prompt_token_s = Gauge(
+            "azurewick_entry_engine_prompt_token_seconds",
+            "Learned time of a prompt token, by service.",
+            registry=self.registry,
+        )
         self._configurations = Counter(
             "azurewick_entry_configurations_total",
             "Configurations received, by source: store or peer.",
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -9,6 +9,7 @@
 from dataclasses import field
 
 from azurewick.entry.departures import Departure
+from azurewick.entry.engine_times import TimeSums
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.server_capacity import CapacityReport
 from azurewick.entry.slot_shares import SlotShares
@@ -67,7 +68,7 @@
     outage of the store in which entries of live servers may have expired.
     list_age_s is the time since the store has confirmed the sender's list of
     the servers, None before that. configuration is None before the sender has
-    one. capacity is empty in reports without it.
+    one. capacity and engine_times are empty in reports without them.
     """
 
     name: str
@@ -90,6 +91,7 @@
     list_age_s: float | None = None
     configuration: ConfigurationNotice | None = None
     capacity: CapacityReport = CapacityReport()
+    engine_times: Mapping[str, TimeSums] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -16,6 +16,8 @@
 from azurewick.entry.capacity_codec import read_capacity
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import DepartureSource
+from azurewick.entry.engine_times import encode_times
+from azurewick.entry.engine_times import read_times
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.speeds import SpeedSample
@@ -125,8 +127,11 @@
         fields[KEY_LIST_AGE] = round(report.list_age_s / AGE_UNIT_S)
     if report.configuration is not None:
         fields[KEY_CONFIGURATION] = _encode_notice(report.configuration)
-    if report.capacity:
-        fields[KEY_CAPACITY] = encode_capacity(report.capacity)
+    if report.capacity or report.engine_times:
+        fields[KEY_CAPACITY] = [
+            *encode_capacity(report.capacity),
+            encode_times(report.engine_times),
+        ]
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -160,6 +165,7 @@
             configuration=_read_notice(body.get(KEY_CONFIGURATION)),
             has_lost_store=body.get(KEY_HAS_LOST_STORE) is True,
             capacity=read_capacity(body.get(KEY_CAPACITY)),
+            engine_times=read_times((body.get(KEY_CAPACITY) or [])[3:]),
         )
     except (
         AttributeError,
--- a/azurewick/entry/server_learning.py
+++ b/azurewick/entry/server_learning.py
@@ -8,7 +8,11 @@
 from random import Random
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.engine_times import EngineTimes
+from azurewick.entry.engine_times import StreamTimes
+from azurewick.entry.engine_times import TimeSums
 from azurewick.entry.metrics import EntryMetrics
+from azurewick.entry.models import CallerRequest
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
 from azurewick.entry.server_capacity import AnnouncedCapacity
@@ -16,6 +20,10 @@
 from azurewick.entry.server_capacity import CapacityReport
 from azurewick.entry.server_capacity import LearnedCapacity
 from azurewick.entry.settings import EntrySettings
+from azurewick.entry.work import EngineTimings
+from azurewick.entry.work import measure_work
+from azurewick.entry.work import NOMINAL_TIMINGS
+from azurewick.entry.work import WorkEstimate
 
 
 class ServerLearning:
@@ -32,8 +40,11 @@
     ) -> None:
         self._peers = peers
         self._learned: LearnedCapacity | None = None
+        self._times: EngineTimes | None = None
         if settings is None or peers is None or random is None:
             return
+        if settings.learns_engine_times:
+            self._times = EngineTimes()
         if settings.learns_capacity:
             self._learned = LearnedCapacity(
                 lambda: peers.instance_count, random
@@ -46,7 +57,7 @@
 
     def load(self, backend: Backend, now_s: float) -> float:
         """Return the number of requests at a server, as far as known."""
-        if self._peers is None or self._learned is None:
+        if self._peers is None or not (self._learned or self._times):
             return float(backend.in_flight)
         shares = self._peers.slot_shares(now_s)
         return float(backend.in_flight - shares.unused(0, backend.name))
@@ -67,6 +78,51 @@
             mean_load = (load + self.load(backend, now_s)) / 2
             self._learned.record(backend, mean_load, slowdown, now_s)
 
+    def timings(self, service: str, now_s: float) -> EngineTimings:
+        """Return the times of a service's engines."""
+        if self._times is None:
+            return NOMINAL_TIMINGS
+        return self._times.timings(service, now_s)
+
+    def record_stream(
+        self,
+        backend: Backend,
+        request: CallerRequest,
+        *,
+        load: float,
+        output_tokens: int,
+        first_event_tokens: int,
+        first_s: float | None,
+        took_s: float,
+        now_s: float,
+    ) -> WorkEstimate:
+        """Record a complete stream; return the work expected at its load.
+
+        The capacity is learned from the work at the mean load, as the growth
+        with the load is what limits it.
+        """
+        timings = self.timings(backend.entry.service, now_s)
+        work = measure_work(request, output_tokens, timings)
+        self.record_answer(backend, load, took_s / work.total_s, now_s)
+        if self._times is None:
+            return work
+        mean_load = (load + self.load(backend, now_s)) / 2
+        if first_s is not None and backend.is_engine:
+            self._times.record(
+                StreamTimes(
+                    server=backend.name,
+                    service=backend.entry.service,
+                    slots=backend.entry.slots,
+                    load=mean_load,
+                    prompt_tokens=request.input_tokens or 0,
+                    first_s=first_s,
+                    step_tokens=output_tokens - first_event_tokens,
+                    steps_s=took_s - first_s,
+                ),
+                now_s,
+            )
+        return measure_work(request, output_tokens, timings.at_load(mean_load))
+
     def record_report(
         self,
         report: PeerReport,
@@ -74,6 +130,8 @@
         now_s: float,
     ) -> None:
         """Add the measurements in a peer's report."""
+        if self._times is not None and report.engine_times:
+            self._times.record_peer(report.name, report.engine_times, now_s)
         if self._learned is not None and report.capacity:
             self._learned.record_peer(
                 report.name,
@@ -89,17 +147,30 @@
             return CapacityReport()
         return self._learned.report(now_s)
 
+    def times_report(self, now_s: float) -> Mapping[str, TimeSums]:
+        """Return this instance's measurements of the engines' times."""
+        return {} if self._times is None else self._times.report(now_s)
+
     def forget(self, servers: Iterable[str], peers: Iterable[str]) -> None:
         """Drop what is known about servers and peers that have left."""
+        present, known = set(servers), set(peers)
         if self._learned is not None:
-            self._learned.forget(servers, peers)
+            self._learned.forget(present, known)
+        if self._times is not None:
+            self._times.forget(present, known)
 
     def totals(self) -> Mapping[str, tuple[int, int]]:
         """Return sums by service: limits, and servers limited below usual."""
         return {} if self._learned is None else self._learned.totals()
 
     def update_metrics(self, metrics: EntryMetrics) -> None:
-        """Set the gauges of the capacity."""
+        """Set the gauges of the capacity and of the engines' times."""
         for service, (limits, reduced) in self.totals().items():
             metrics.capacity_limits.set({"service": service}, limits)
             metrics.limited_servers.set({"service": service}, reduced)
+        if self._times is None:
+            return
+        for service, timings in self._times.fits().items():
+            labels = {"service": service}
+            metrics.engine_step_s.set(labels, timings.output_token_s)
+            metrics.engine_prompt_token_s.set(labels, timings.prefill_token_s)
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -57,7 +57,9 @@
         self._protocol = protocol
         self._clock = clock
         self._random = random
-        self._work_estimator = WorkEstimator()
+        self._work_estimator = WorkEstimator(
+            lambda service: learning.timings(service, clock())
+        )
         self._request_ages = RequestAgeEstimator()
         self._parts: dict[str, ExchangeParts] = {}
         self.placement = LeastLoadPlacement(
@@ -114,13 +116,15 @@
 
     def max_run_s(self, route: Route, request: CallerRequest) -> float:
         """Return how long a request may run at the slowest server."""
-        slowdowns = [
-            backend.slowdown
-            for service in route.services
-            for backend in self._moves.serving(service.name)
-        ]
-        slowdown = max(slowdowns, default=1.0)
-        return self._work_estimator.max_work_s(route, request) * slowdown
+        return max(
+            (
+                backend.slowdown
+                * self._work_estimator.max_work_s(route, request, service.name)
+                for service in route.services
+                for backend in self._moves.serving(service.name)
+            ),
+            default=self._work_estimator.max_work_s(route, request),
+        )
 
     def dispatch_waiting(self) -> None:
         """Dispatch waiting requests to free slots."""
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -25,7 +25,8 @@
     cold server cold_overage times the rate that it takes, and cold_allowance
     requests more. follows_evacuations is set where operators may order that
     a failure domain's servers get no requests. With learns_capacity the limit
-    of concurrent requests of each server is learned from its latencies.
+    of concurrent requests of each server is learned from its latencies, and
+    with learns_engine_times the times of each service's engines.
     """
 
     name: str
@@ -53,3 +54,4 @@
     cold_allowance: float = 0.0
     follows_evacuations: bool = False
     learns_capacity: bool = False
+    learns_engine_times: bool = False
--- a/azurewick/entry/work.py
+++ b/azurewick/entry/work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
 from zlib import crc32
@@ -17,6 +18,9 @@
 NOMINAL_PREFILL_TOKEN_S = 0.000008
 NOMINAL_PREFILL_PAIR_S = 2.6e-10
 NOMINAL_OUTPUT_TOKEN_S = 0.0042
+# Lower bound of the time of a step at a low load, as a share of that at the
+# mean load.
+MIN_STEP_SHARE = 0.2
 # Work of a request to a plain service, which has no prompt.
 NOMINAL_PLAIN_S = 0.045
 # Weight of the newest sample in the moving averages.
@@ -35,6 +39,57 @@
 DEFAULT_OUTPUT_SHARE = 0.5
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineTimings:
+    """Times of a service's engines.
+
+    output_token_s is the time of a step at mean_load requests, and
+    step_growth_s what a further request adds to it.
+    """
+
+    first_token_s: float = NOMINAL_FIRST_TOKEN_S
+    prefill_token_s: float = NOMINAL_PREFILL_TOKEN_S
+    prefill_pair_s: float = NOMINAL_PREFILL_PAIR_S
+    output_token_s: float = NOMINAL_OUTPUT_TOKEN_S
+    step_growth_s: float = 0.0
+    mean_load: float = 0.0
+
+    def first_s(self, prompt_tokens: float) -> float:
+        """Return the time to the first token of a prompt."""
+        return (
+            self.first_token_s
+            + prompt_tokens * self.prefill_token_s
+            + prompt_tokens**2 * self.prefill_pair_s
+        )
+
+    def at_load(self, load: float) -> EngineTimings:
+        """Return the times at a number of requests, 1 at least."""
+        if not self.step_growth_s:
+            return self
+        growth_s = (max(1.0, load) - self.mean_load) * self.step_growth_s
+        return replace(
+            self,
+            output_token_s=max(
+                MIN_STEP_SHARE * self.output_token_s,
+                self.output_token_s + growth_s,
+            ),
+        )
+
+    def scaled(self, factor: float) -> EngineTimings:
+        """Return the times multiplied by a factor."""
+        return EngineTimings(
+            first_token_s=self.first_token_s * factor,
+            prefill_token_s=self.prefill_token_s * factor,
+            prefill_pair_s=self.prefill_pair_s * factor,
+            output_token_s=self.output_token_s * factor,
+            step_growth_s=self.step_growth_s * factor,
+            mean_load=self.mean_load,
+        )
+
+
+NOMINAL_TIMINGS = EngineTimings()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkEstimate:
     """Work of a request in seconds on the nominal engine.
@@ -51,10 +106,15 @@
 class WorkEstimator:
     """Estimates work from the prompt and the expected output.
 
-    Output lengths and request sizes are averaged by route.
+    Output lengths and request sizes are averaged by route. timings returns
+    the times of a service's engines.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        timings: Callable[[str], EngineTimings] = lambda _: NOMINAL_TIMINGS,
+    ) -> None:
+        self._timings = timings
         # Mean ratio of output tokens to their announced maximum, by route.
         self._output_shares: dict[str, float] = {}
         # Mean size of the requests, by route.
@@ -62,8 +122,10 @@
         # Mean value per second of work, by route.
         self._mean_urgencies: dict[str, float] = {}
 
-    def estimate(self, route: Route, request: CallerRequest) -> WorkEstimate:
-        """Return the expected work of a request."""
+    def estimate(
+        self, route: Route, request: CallerRequest, service: str = ""
+    ) -> WorkEstimate:
+        """Return the expected work of a request to a service."""
         if not route.has_prompt:
             return WorkEstimate(
                 first_token_s=NOMINAL_PLAIN_S, total_s=NOMINAL_PLAIN_S
@@ -72,18 +134,22 @@
         if output is None:
             share = self._output_shares.get(route.name, DEFAULT_OUTPUT_SHARE)
             output = round(request.output_tokens * share)
-        work = measure_work(request, output)
+        work = measure_work(request, output, self._timings(service))
         value = self._value(route, request, output)
         mean_urgency = self._update_mean_urgency(route, value / work.total_s)
         if _is_ranked_by_mean(request):
             value = mean_urgency * work.total_s
         return replace(work, value=value)
 
-    def max_work_s(self, route: Route, request: CallerRequest) -> float:
+    def max_work_s(
+        self, route: Route, request: CallerRequest, service: str = ""
+    ) -> float:
         """Return the work in seconds for the maximum output."""
         if not route.has_prompt:
             return NOMINAL_PLAIN_S
-        return measure_work(request, request.output_tokens).total_s
+        return measure_work(
+            request, request.output_tokens, self._timings(service)
+        ).total_s
 
     def record_output(
         self, route: Route, request: CallerRequest, output_tokens: int
@@ -132,15 +198,14 @@
     return prompt + OUTPUT_TOKEN_WEIGHT * output_tokens
 
 
-def measure_work(request: CallerRequest, output_tokens: int) -> WorkEstimate:
+def measure_work(
+    request: CallerRequest,
+    output_tokens: int,
+    timings: EngineTimings = NOMINAL_TIMINGS,
+) -> WorkEstimate:
     """Return the work of a request for a given number of output tokens."""
-    prompt = request.input_tokens or 0
-    first_token_s = (
-        NOMINAL_FIRST_TOKEN_S
-        + prompt * NOMINAL_PREFILL_TOKEN_S
-        + prompt**2 * NOMINAL_PREFILL_PAIR_S
-    )
+    first_token_s = timings.first_s(request.input_tokens or 0)
     return WorkEstimate(
         first_token_s=first_token_s,
-        total_s=first_token_s + output_tokens * NOMINAL_OUTPUT_TOKEN_S,
+        total_s=first_token_s + output_tokens * timings.output_token_s,
     )
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -89,6 +89,7 @@
     """What instances learn from measurements, in place of fixed values."""
 
     learns_capacity: bool = False
+    learns_engine_times: bool = False
 
 
 class StoreTable(Struct, frozen=True):
@@ -159,6 +160,7 @@
         cold_allowance=bounds.cold_slack,
         follows_evacuations=bounds.evacuate_ms is not None,
         learns_capacity=node.learning.learns_capacity,
+        learns_engine_times=node.learning.learns_engine_times,
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -38,11 +38,12 @@
 
     def test_learning_is_off_unless_it_is_switched_on(self):
         settings = parse_node_file(build_node_text())
-        self.assertFalse(settings.learns_capacity)
-        text = build_node_text(learning={"learns_capacity": True})
-        self.assertTrue(parse_node_file(text).learns_capacity)
-        with self.assertRaises(AzurewickError):
-            parse_node_file(build_node_text(learning={"learns_capacity": 2}))
+        for name in ("learns_capacity", "learns_engine_times"):
+            self.assertFalse(getattr(settings, name))
+            text = build_node_text(learning={name: True})
+            self.assertTrue(getattr(parse_node_file(text), name))
+            with self.assertRaises(AzurewickError):
+                parse_node_file(build_node_text(learning={name: 2}))
 
     def test_odd_numbers_are_invalid(self):
         for changes in (
