Learn the limits of full servers by trials of one leader

One instance, by rendezvous hashing, now leads for each server and reports its limit, which the others use. It raises a limit for 6 s and compares latencies before and after; it tries a lower one only on a full engine that is slower than it was at small loads. The random probes of each instance are removed.

Times to the first output now count towards the speed of a server, as whole answers of a slow server come late.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -153,7 +153,7 @@
         self._move_writer = MoveWriter(
             store, kinds.moves, self._moves, monotonic_s
         )
-        self._learning = ServerLearning(settings, self._peers, random)
+        self._learning = ServerLearning(settings, self._peers)
         self.pools = ServicePools(
             settings=settings,
             state=self.state,
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -437,12 +437,14 @@
         attempt = self.trace.attempts[-1]
         if not self._route.has_prompt or attempt.first_byte_s is None:
             return
-        first_s = measure_work(self._request, 0).first_token_s
+        now_s = self._parts.clock()
+        first_s = attempt.first_byte_s - attempt.sent_s
+        nominal_s = measure_work(self._request, 0).first_token_s
         self._parts.moves.record_first(
-            self._route,
-            backend,
-            (attempt.first_byte_s - attempt.sent_s) / first_s,
-            self._parts.clock(),
+            self._route, backend, first_s / nominal_s, now_s
+        )
+        self._parts.learning.record_first(
+            backend, self._request, self._sent_load, first_s, now_s
         )
 
     def _handle_output(self, *, is_first: bool) -> None:
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -133,6 +133,11 @@
         """Return the number of instances, this one included."""
         return len(self._members)
 
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Return the names of the live instances, this one included."""
+        return self._members
+
     @property
     def own_rank(self) -> tuple[int, int]:
         """Return this instance's place among the live ones, and their number.
--- a/azurewick/entry/server_capacity.py
+++ b/azurewick/entry/server_capacity.py
@@ -6,25 +6,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
-from logging import getLogger
-from math import exp
-from random import Random
+from math import log
 from typing import Protocol
-from typing import TypeVar
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.limit_trial import RecentAnswers
+from azurewick.entry.limit_trial import TRIAL_S
 from azurewick.entry.load_curve import Bend
 from azurewick.entry.load_curve import clip_log
 from azurewick.entry.load_curve import LoadCurve
-from azurewick.util.decaying_rate import DecayingRate
-
-_LOGGER = getLogger(__name__)
-_T = TypeVar("_T")
+from azurewick.entry.server_speed import MovingAverage
+from azurewick.entry.server_speed import ServerSpeed
+from azurewick.entry.slot_shares import OVERCOMMIT_SLOTS
 
 # Limit of requests at a server of a plain service, as a multiple of what it
 # runs at once. The server queues the rest, which costs less than a refusal.
@@ -33,7 +29,7 @@
 MAX_PLAIN_SLOT_FACTOR = 3.0
 # Loads at which the curve may bend, as multiples of the slots. A plain server
 # that behaves as announced queues beyond them.
-ENGINE_KNEES = (0.17, 0.33, 0.5, 0.67, 0.83)
+ENGINE_KNEES = (0.25, 0.4, 0.5, 0.6, 0.7, 0.85)
 PLAIN_KNEES = (0.33, 0.5, 0.75, 1.0, 1.4, 2.0)
 # Slope of the load curve from which on a server counts as crowded: twice the
 # requests then yield less than a third more throughput.
@@ -47,21 +43,32 @@
 # Limits are checked again after this time.
 UPDATE_S = 0.5
 # Without evidence for or against a limit, it is raised by a step of a twelfth
-# of the largest limit after this time.
+# of the largest limit after this time. It doubles with each trial that shows
+# that the server is crowded there.
 RAISE_AFTER_S = 8.0
+MAX_RAISE_AFTER_S = 64.0
 STEPS_PER_LIMIT = 12
-# A probe exceeds a limit by one step for this long. The instances together
-# probe a server for about PROBE_SHARE of the time.
-PROBE_S = 1.0
-PROBE_SHARE = 0.2
-# Time constant of the speed of a server, and the weight of the speed that was
-# averaged over a longer time, as a number of measurements.
-SPEED_TIME_CONSTANT_S = 2.0
-SLOW_AVERAGE_COUNT = 2.0
-# Measurements until the own view of a server replaces that of the peers.
-MIN_OWN_SAMPLES = 20
-# How long a peer's limit is used without its confirmation.
-PEER_LIMIT_TTL_S = 5.0
+# A full engine whose load hardly varies is tried with a part of its limit less
+# after this time. It doubles with each trial that shows no gain, as a trial
+# costs throughput on an engine that isn't crowded.
+LOWER_AFTER_S = 8.0
+MAX_LOWER_AFTER_S = 600.0
+LOWER_PART = 5
+# Time until the next trial after one with a gain.
+LOWER_AGAIN_AFTER_S = 4.0
+# An engine is full if its mean load exceeds this share of its limit.
+FULL_SHARE = 0.85
+# Loads up to this share of the slots are small. A lower limit is tried only on
+# an engine that is slower by CROWDED_FACTOR than the average of the answers at
+# small loads, of which there have to be some.
+UNCROWDED_SHARE = 0.5
+UNCROWDED_WEIGHT = 0.02
+MIN_UNCROWDED = 10
+CROWDED_FACTOR = 1.6
+# A lower limit is kept if the slope exceeds this many standard errors.
+MIN_TRIAL_ERRORS = 3.0
+# Smallest change of the logarithm of the load that a trial has to cause.
+MIN_LOAD_CHANGE = 0.03
 # Bounds of a report: measurements, their age, and limits.
 MAX_REPORTED_SAMPLES = 8
 MAX_REPORTED_AGE_S = 4.5
@@ -73,7 +80,8 @@
     """Time of an answer at a server, relative to that expected.
 
     number counts the samples of an instance. load is the number of requests
-    at the server, those of the peers included.
+    at the server, those of the peers included. It is 0 if the time is that to
+    the first output, which says little about the load.
     """
 
     number: int
@@ -127,6 +135,14 @@
     return round(backend.entry.slots * PLAIN_SLOT_FACTOR)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Trial:
+    """Trial of another limit than the former one."""
+
+    former: int
+    started_s: float
+
+
 class ServerCapacity:
     """Learned limit of one run of a server.
 
@@ -142,69 +158,157 @@
         self.slots = entry.slots
         self.usual = usual_limit(backend)
         self.samples = 0
+        self.speed = ServerSpeed()
         self._is_engine = backend.is_engine
         self.max = (
             entry.slots
             if backend.is_engine
             else round(entry.slots * MAX_PLAIN_SLOT_FACTOR)
         )
-        self._step = max(1, self.max // STEPS_PER_LIMIT)
         self.limit = self.usual
+        self._step = max(1, self.max // STEPS_PER_LIMIT)
         shares = ENGINE_KNEES if backend.is_engine else PLAIN_KNEES
         self._curve = LoadCurve(entry.slots * share for share in shares)
-        self._changed_s = now_s
+        self._recent = RecentAnswers()
+        # Slowdown at small loads, over a long time.
+        self._uncrowded = MovingAverage(UNCROWDED_WEIGHT)
         self._updated_s = now_s
+        self._changed_s = now_s
         # Largest load since the last change of the limit.
         self._peak_load = 0.0
-        self._speed_count = DecayingRate(SPEED_TIME_CONSTANT_S)
-        self._speed_sum = DecayingRate(SPEED_TIME_CONSTANT_S)
+        self._trial: _Trial | None = None
+        self._raise_after_s = RAISE_AFTER_S
+        self._lower_after_s = LOWER_AFTER_S
+        self._lowered_s = now_s
 
     def add(self, load: float, slowdown: float, ended_s: float) -> None:
-        """Add the slowdown of an answer."""
+        """Add the slowdown of an answer, or of a first output if load is 0."""
+        if not load:
+            self.speed.add_first(slowdown, ended_s)
+            return
         self.samples += 1
-        self._speed_count.add(1.0, ended_s)
-        self._speed_sum.add(clip_log(slowdown), ended_s)
+        self.speed.add(slowdown, ended_s)
         # Engines queue requests beyond their slots, which says nothing about
         # the load up to them.
-        if load <= self.max:
-            self._curve.add(load, clip_log(slowdown), ended_s)
+        if load <= self.max + OVERCOMMIT_SLOTS:
+            load = min(load, self.max)
+            log_slowdown = clip_log(slowdown)
+            self._curve.add(load, log_slowdown, ended_s)
+            self._recent.add(log(max(1.0, load)), log_slowdown, ended_s)
             self._peak_load = max(self._peak_load, load)
+            if load <= UNCROWDED_SHARE * self.slots:
+                self._uncrowded.add(log_slowdown)
+
+    def adopt(self, limit: int, now_s: float) -> None:
+        """Take the limit of the instance that leads for this server."""
+        self._trial = None
+        limit = max(1, min(self.max, limit))
+        if limit != self.limit:
+            self._set(limit, now_s)
+
+    def update(self, now_s: float, *, leads: bool) -> None:
+        """Adjust the limit to the measurements, once in UPDATE_S.
 
-    def update(self, now_s: float) -> None:
-        """Adjust the limit to the measurements, once in UPDATE_S."""
+        Only one instance leads and makes trials, which need a change of the
+        load of all.
+        """
         if 0 <= now_s - self._updated_s < UPDATE_S:
             return
         self._updated_s = now_s
+        wanted = self._wanted()
+        if wanted is not None and wanted < self.limit:
+            self._trial = None
+            self._set(wanted, now_s)
+        elif self._trial is not None:
+            if now_s - self._trial.started_s >= TRIAL_S:
+                self._end_trial(self._trial, now_s)
+        elif self.limit < (wanted or self.max) and self._may_rise(now_s):
+            self._raise(now_s, is_trial=leads and self._is_engine)
+        elif leads and self._is_engine and self._is_full(now_s):
+            self._start_trial(
+                self.limit - max(1, self.limit // LOWER_PART), now_s
+            )
+
+    def _wanted(self) -> int | None:
+        """Return the limit by a bend that is steep and certain."""
         bend = self._curve.sharpest_bend(
             None if self._is_engine else self.slots
         )
-        if bend is not None and _is_crowded(bend):
-            wanted = self._limit_at(bend)
-            if wanted < self.limit:
-                self._set(wanted, now_s)
-            elif wanted > self.limit and self._is_settled(now_s):
-                self._set(min(wanted, self.limit + self._step), now_s)
+        if bend is None or not _is_crowded(bend):
+            return None
+        factor = 1.0 if self._is_engine else PLAIN_SLOT_FACTOR
+        return max(1, round(bend.load * factor))
+
+    def _raise(self, now_s: float, *, is_trial: bool) -> None:
+        limit = min(self.max, self.limit + self._step)
+        if is_trial:
+            self._start_trial(limit, now_s)
+        else:
+            self._set(limit, now_s)
+
+    def _start_trial(self, limit: int, now_s: float) -> None:
+        self._trial = _Trial(former=self.limit, started_s=now_s)
+        self._set(limit, now_s)
+
+    def _end_trial(self, trial: _Trial, now_s: float) -> None:
+        """Keep the limit that was tried, or return to the former one."""
+        self._trial = None
+        result = self._recent.compare(trial.started_s, now_s)
+        is_crowded = (
+            result is not None
+            and abs(result.load_change) > MIN_LOAD_CHANGE
+            and result.slope > CROWDED_SLOPE
+        )
+        if self.limit > trial.former:
+            if is_crowded:
+                self._raise_after_s = min(
+                    MAX_RAISE_AFTER_S, 2 * self._raise_after_s
+                )
+                self._set(trial.former, now_s)
+            else:
+                self._raise_after_s = RAISE_AFTER_S
+            return
+        self._lowered_s = now_s
+        if (
+            result is not None
+            and is_crowded
+            and result.slope > MIN_TRIAL_ERRORS * result.error
+        ):
+            self._lower_after_s = LOWER_AGAIN_AFTER_S
             return
-        if self.limit < self.max and self._may_rise(now_s):
-            self._set(min(self.max, self.limit + self._step), now_s)
+        self._lower_after_s = min(
+            MAX_LOWER_AFTER_S, 2 * max(LOWER_AFTER_S, self._lower_after_s)
+        )
+        self._set(trial.former, now_s)
 
-    def probe_limit(self) -> int:
-        """Return the limit for an instance that probes above it."""
-        return min(self.max, self.limit + self._step)
+    def _is_full(self, now_s: float) -> bool:
+        """Return whether a lower limit may be tried.
 
-    def slowdown(self, average: float, now_s: float) -> float:
-        """Return the present slowdown; average is that of a longer time."""
-        count = self._speed_count.per_s(now_s) * SPEED_TIME_CONSTANT_S
-        total = self._speed_sum.per_s(now_s) * SPEED_TIME_CONSTANT_S
-        return exp(
-            (SLOW_AVERAGE_COUNT * clip_log(average) + total)
-            / (SLOW_AVERAGE_COUNT + count)
+        That is when the load can't rise, and the engine is slower than at
+        small loads: because it is crowded, or by itself.
+        """
+        if (
+            self.limit < 2
+            or now_s - self._lowered_s < self._lower_after_s
+            or self._is_known_uncrowded()
+        ):
+            return False
+        means = self._recent.means(now_s)
+        if means is None or self._uncrowded.count < MIN_UNCROWDED:
+            return False
+        return (
+            means[0] > log(FULL_SHARE * self.limit)
+            and means[1] > log(CROWDED_FACTOR) + self._uncrowded.value
         )
 
-    def _limit_at(self, bend: Bend) -> int:
-        if self._is_engine:
-            return max(1, round(bend.load))
-        return max(1, round(bend.load * PLAIN_SLOT_FACTOR))
+    def _is_known_uncrowded(self) -> bool:
+        """Return whether the curve is flat around the limit."""
+        load = self.limit / (1.0 if self._is_engine else PLAIN_SLOT_FACTOR)
+        bend = self._curve.bend_near(load)
+        return (
+            bend is not None
+            and bend.slope + RELEASE_ERRORS * bend.error < CROWDED_SLOPE
+        )
 
     def _may_rise(self, now_s: float) -> bool:
         """Return whether the load may grow beyond the limit.
@@ -212,20 +316,12 @@
         A plain server gets more than usual only if its present limit was
         used in full.
         """
-        if self.limit >= self.usual and self._peak_load < self.limit:
-            return False
-        load = self.limit / (1.0 if self._is_engine else PLAIN_SLOT_FACTOR)
-        bend = self._curve.bend_near(load)
-        if (
-            bend is not None
-            and bend.slope + RELEASE_ERRORS * bend.error < CROWDED_SLOPE
-        ):
-            return True
-        return self.limit < self.usual and self._is_settled(now_s)
-
-    def _is_settled(self, now_s: float) -> bool:
-        """Return whether the limit has been the same for some time."""
-        return now_s - self._changed_s > RAISE_AFTER_S
+        if self.limit >= self.usual:
+            return self._peak_load >= self.limit and self._is_known_uncrowded()
+        return (
+            self._is_known_uncrowded()
+            or now_s - self._changed_s > self._raise_after_s
+        )
 
     def _set(self, limit: int, now_s: float) -> None:
         self.limit = limit
@@ -238,162 +334,3 @@
         bend.slope >= CROWDED_SLOPE
         and bend.slope >= MIN_BEND_ERRORS * bend.error
     )
-
-
-class LearnedCapacity:
-    """Limits of all servers, from the measurements of all instances."""
-
-    def __init__(
-        self, instance_count: Callable[[], int], random: Random
-    ) -> None:
-        self._instance_count = instance_count
-        self._random = random
-        self._servers: dict[str, ServerCapacity] = {}
-        self._own: list[tuple[LoadSample, float]] = []
-        self._number = 0
-        # Newest sample of each peer, as its incarnation and number.
-        self._seen: dict[str, tuple[int, int]] = {}
-        # Limits that peers reported, with the time.
-        self._peer_limits: dict[str, tuple[int, float]] = {}
-        # End of the present period of a probe, and whether one runs.
-        self._probes: dict[str, tuple[float, bool]] = {}
-
-    def limit(self, backend: Backend, now_s: float) -> int:
-        """Return the limit for all instances together."""
-        server = self._server(backend, now_s)
-        before = server.limit
-        server.update(now_s)
-        if server.limit != before:
-            _log_change(backend, server, before)
-        if server.samples < MIN_OWN_SAMPLES:
-            known = self._peer_limits.get(backend.name)
-            if known and 0 <= now_s - known[1] < PEER_LIMIT_TTL_S:
-                return max(1, min(server.max, known[0]))
-        if server.limit < server.usual and self._is_probing(
-            backend.name, now_s
-        ):
-            return server.probe_limit()
-        return server.limit
-
-    def slowdown(
-        self, backend: Backend, average: float, now_s: float
-    ) -> float:
-        """Return the present slowdown of a server."""
-        return self._server(backend, now_s).slowdown(average, now_s)
-
-    def record(
-        self, backend: Backend, load: float, slowdown: float, now_s: float
-    ) -> None:
-        """Record the answer to a request of this instance."""
-        self._server(backend, now_s).add(load, slowdown, now_s)
-        self._number += 1
-        sample = LoadSample(
-            number=self._number,
-            server=backend.name,
-            load=load,
-            slowdown=slowdown,
-        )
-        self._own.append((sample, now_s))
-        del self._own[:-MAX_REPORTED_SAMPLES]
-
-    def record_peer(
-        self,
-        name: str,
-        incarnation: int,
-        report: CapacityReport,
-        find_backend: Callable[[str], Backend | None],
-        now_s: float,
-    ) -> None:
-        """Add the measurements of a peer that aren't known yet."""
-        for server, limit in report.limits.items():
-            self._peer_limits[server] = (limit, now_s)
-        seen = self._seen.get(name, (incarnation, 0))
-        newest = seen[1] if seen[0] == incarnation else 0
-        for sample in report.samples:
-            backend = find_backend(sample.server)
-            if sample.number > newest and backend is not None:
-                self._server(backend, now_s).add(
-                    sample.load, sample.slowdown, now_s - sample.age_s
-                )
-        newest = max([newest, *(item.number for item in report.samples)])
-        self._seen[name] = (incarnation, newest)
-
-    def report(self, now_s: float) -> CapacityReport:
-        """Return what the peers should know."""
-        reduced = (
-            (name, server.limit)
-            for name, server in self._servers.items()
-            if server.limit != server.usual
-        )
-        return CapacityReport(
-            samples=tuple(
-                LoadSample(
-                    number=sample.number,
-                    server=sample.server,
-                    load=sample.load,
-                    slowdown=sample.slowdown,
-                    age_s=now_s - ended_s,
-                )
-                for sample, ended_s in self._own
-                if now_s - ended_s <= MAX_REPORTED_AGE_S
-            ),
-            limits=dict(sorted(reduced)[:MAX_REPORTED_LIMITS]),
-        )
-
-    def totals(self) -> Mapping[str, tuple[int, int]]:
-        """Return sums by service: limits, and servers limited below usual."""
-        totals: dict[str, tuple[int, int]] = {}
-        for server in self._servers.values():
-            limits, reduced = totals.get(server.service, (0, 0))
-            totals[server.service] = (
-                limits + server.limit,
-                reduced + (server.limit < server.usual),
-            )
-        return totals
-
-    def forget(self, present: Iterable[str], peers: Iterable[str]) -> None:
-        """Drop what is known about servers and peers that have left."""
-        names = set(present)
-        known = set(peers)
-        self._servers = _keep(self._servers, names)
-        self._peer_limits = _keep(self._peer_limits, names)
-        self._probes = _keep(self._probes, names)
-        self._seen = _keep(self._seen, known)
-
-    def _server(self, backend: Backend, now_s: float) -> ServerCapacity:
-        """Return the state of a server; a new run starts from the slots."""
-        known = self._servers.get(backend.name)
-        if (
-            known is None
-            or known.started_ms != backend.entry.started_ms
-            or known.slots != backend.entry.slots
-        ):
-            known = ServerCapacity(backend, now_s)
-            self._servers[backend.name] = known
-        return known
-
-    def _is_probing(self, server: str, now_s: float) -> bool:
-        """Return whether this instance is drawn to exceed the limit."""
-        ends_s, is_probing = self._probes.get(server, (0.0, False))
-        if now_s >= ends_s:
-            chance = PROBE_SHARE / max(1, self._instance_count())
-            is_probing = self._random.random() < chance
-            self._probes[server] = (now_s + PROBE_S, is_probing)
-        return is_probing
-
-
-def _keep(items: Mapping[str, _T], names: set[str]) -> dict[str, _T]:
-    return {name: item for name, item in items.items() if name in names}
-
-
-def _log_change(backend: Backend, server: ServerCapacity, before: int) -> None:
-    _LOGGER.info(
-        "capacity of backend server changed",
-        extra={
-            "backend_server": backend.name,
-            "limit": server.limit,
-            "limit_before": before,
-            "slots": server.slots,
-            "samples": server.samples,
-        },
-    )
--- a/azurewick/entry/server_learning.py
+++ b/azurewick/entry/server_learning.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
-from random import Random
 
 from azurewick.entry.backends import Backend
 from azurewick.entry.engine_times import EngineTimes
 from azurewick.entry.engine_times import StreamTimes
 from azurewick.entry.engine_times import TimeSums
+from azurewick.entry.learned_capacity import LearnedCapacity
 from azurewick.entry.metrics import EntryMetrics
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.peers import PeerReport
@@ -18,7 +18,6 @@
 from azurewick.entry.server_capacity import AnnouncedCapacity
 from azurewick.entry.server_capacity import CapacityPolicy
 from azurewick.entry.server_capacity import CapacityReport
-from azurewick.entry.server_capacity import LearnedCapacity
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.work import EngineTimings
 from azurewick.entry.work import measure_work
@@ -36,18 +35,17 @@
         self,
         settings: EntrySettings | None = None,
         peers: PeerView | None = None,
-        random: Random | None = None,
     ) -> None:
         self._peers = peers
         self._learned: LearnedCapacity | None = None
         self._times: EngineTimes | None = None
-        if settings is None or peers is None or random is None:
+        if settings is None or peers is None:
             return
         if settings.learns_engine_times:
             self._times = EngineTimes()
         if settings.learns_capacity:
             self._learned = LearnedCapacity(
-                lambda: peers.instance_count, random
+                settings.name, lambda: peers.members
             )
 
     @property
@@ -78,6 +76,24 @@
             mean_load = (load + self.load(backend, now_s)) / 2
             self._learned.record(backend, mean_load, slowdown, now_s)
 
+    def record_first(
+        self,
+        backend: Backend,
+        request: CallerRequest,
+        load: float,
+        first_s: float,
+        now_s: float,
+    ) -> None:
+        """Record the time to a first output.
+
+        A request that was sent to a full engine has waited in its queue.
+        """
+        if self._learned is None or load > backend.entry.slots:
+            return
+        timings = self.timings(backend.entry.service, now_s)
+        expected_s = timings.first_s(request.input_tokens or 0)
+        self._learned.record(backend, 0.0, first_s / expected_s, now_s)
+
     def timings(self, service: str, now_s: float) -> EngineTimings:
         """Return the times of a service's engines."""
         if self._times is None:
