Confirm a lower limit of an engine by a trial

A trial takes a third off a full engine's limit. Steps upwards follow each other at once as long as they do no harm.

--- a/azurewick/entry/limit_trial.py
+++ b/azurewick/entry/limit_trial.py
@@ -9,7 +9,6 @@
 
 from collections import deque
 from dataclasses import dataclass
-from math import inf
 from math import sqrt
 from statistics import fmean
 from statistics import variance
@@ -22,20 +21,31 @@
 BEFORE_S = 5.0
 # Answers needed on each side.
 MIN_ANSWERS = 6
+# Smallest change of the logarithm of the load that a trial has to cause.
+MIN_LOAD_CHANGE = 0.03
 # Bound of the answers that are kept.
 MAX_ANSWERS = 64
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TrialResult:
-    """Growth of the latency with the load, as Bend has it.
-
-    load_change is that of the logarithm of the load.
-    """
+    """Growth of the latency with the load, as Bend has it."""
 
     slope: float
     error: float
-    load_change: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answers:
+    """Number of answers, their means and the variance of the slowdown.
+
+    Load and slowdown are on the logarithmic scale.
+    """
+
+    count: int
+    load: float
+    slowdown: float
+    variance: float
 
 
 class RecentAnswers:
@@ -50,43 +60,30 @@
         """Add an answer."""
         self._answers.append((now_s, log_load, log_slowdown))
 
-    def means(self, now_s: float) -> tuple[float, float] | None:
-        """Return the means of load and slowdown, None with few answers."""
-        answers = self._between(now_s - BEFORE_S, now_s)
-        if len(answers) < MIN_ANSWERS:
+    def since(self, start_s: float) -> Answers | None:
+        """Return the answers after a time, None if they are few."""
+        recent = [item for item in self._answers if item[0] > start_s]
+        if len(recent) < MIN_ANSWERS:
             return None
-        return (
-            fmean(load for load, _ in answers),
-            fmean(slowdown for _, slowdown in answers),
+        slowdowns = [slowdown for _, _, slowdown in recent]
+        return Answers(
+            count=len(recent),
+            load=fmean(load for _, load, _ in recent),
+            slowdown=fmean(slowdowns),
+            variance=variance(slowdowns),
         )
 
-    def compare(self, started_s: float, now_s: float) -> TrialResult | None:
-        """Compare answers before a trial and in it, None with few answers."""
-        before = self._between(started_s - BEFORE_S, started_s)
-        after = self._between(started_s + SETTLE_S, now_s)
-        if min(len(before), len(after)) < MIN_ANSWERS:
-            return None
-        change = fmean(load for load, _ in after) - fmean(
-            load for load, _ in before
-        )
-        latencies = [
-            [slowdown for _, slowdown in part] for part in (before, after)
-        ]
-        difference = fmean(latencies[1]) - fmean(latencies[0])
-        noise = sqrt(sum(variance(part) / len(part) for part in latencies))
-        if not change:
-            return TrialResult(slope=0.0, error=inf, load_change=0.0)
-        return TrialResult(
-            slope=difference / change,
-            error=noise / abs(change),
-            load_change=change,
-        )
 
-    def _between(
-        self, start_s: float, end_s: float
-    ) -> list[tuple[float, float]]:
-        return [
-            (load, slowdown)
-            for ended_s, load, slowdown in self._answers
-            if start_s < ended_s <= end_s
-        ]
+def compare_answers(before: Answers, after: Answers) -> TrialResult | None:
+    """Compare answers before a trial and in it.
+
+    Returns None if the load is the same.
+    """
+    change = after.load - before.load
+    if abs(change) <= MIN_LOAD_CHANGE:
+        return None
+    noise = sqrt(before.variance / before.count + after.variance / after.count)
+    return TrialResult(
+        slope=(after.slowdown - before.slowdown) / change,
+        error=noise / abs(change),
+    )
--- a/azurewick/entry/server_capacity.py
+++ b/azurewick/entry/server_capacity.py
@@ -13,7 +13,11 @@
 from typing import Protocol
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.limit_trial import Answers
+from azurewick.entry.limit_trial import BEFORE_S
+from azurewick.entry.limit_trial import compare_answers
 from azurewick.entry.limit_trial import RecentAnswers
+from azurewick.entry.limit_trial import SETTLE_S
 from azurewick.entry.limit_trial import TRIAL_S
 from azurewick.entry.load_curve import Bend
 from azurewick.entry.load_curve import clip_log
@@ -47,13 +51,17 @@
 # that the server is crowded there.
 RAISE_AFTER_S = 8.0
 MAX_RAISE_AFTER_S = 64.0
+# Time until the next step after a trial that was no harm.
+RAISE_AGAIN_AFTER_S = 1.0
 STEPS_PER_LIMIT = 12
-# A full engine whose load hardly varies is tried with a part of its limit less
-# after this time. It doubles with each trial that shows no gain, as a trial
-# costs throughput on an engine that isn't crowded.
+# Lower limits of an engine are tried, as long prompts make load and latency
+# grow together without a knee. The first trial comes after this time, which
+# doubles with each trial that shows no gain: it costs throughput on an engine
+# that isn't crowded. A full engine whose load hardly varies is tried with a
+# part of its limit less.
 LOWER_AFTER_S = 8.0
 MAX_LOWER_AFTER_S = 600.0
-LOWER_PART = 5
+LOWER_PART = 3
 # Time until the next trial after one with a gain.
 LOWER_AGAIN_AFTER_S = 4.0
 # An engine is full if its mean load exceeds this share of its limit.
@@ -67,8 +75,9 @@
 CROWDED_FACTOR = 1.6
 # A lower limit is kept if the slope exceeds this many standard errors.
 MIN_TRIAL_ERRORS = 3.0
-# Smallest change of the logarithm of the load that a trial has to cause.
-MIN_LOAD_CHANGE = 0.03
+# The slope that confirms a bend of the load curve. A trial compares mean
+# loads, of which only a part is above the knee.
+CONFIRMING_SLOPE = 0.3
 # Bounds of a report: measurements, their age, and limits.
 MAX_REPORTED_SAMPLES = 8
 MAX_REPORTED_AGE_S = 4.5
@@ -137,16 +146,23 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Trial:
-    """Trial of another limit than the former one."""
+    """Trial of another limit than the former one.
+
+    min_slope and min_errors are what a lower limit has to show to be kept.
+    """
 
     former: int
     started_s: float
+    before: Answers | None
+    min_slope: float
+    min_errors: float
 
 
 class ServerCapacity:
     """Learned limit of one run of a server.
 
-    The limit falls at once to a bend of the load curve that is certain. It
+    A bend of the load curve that is steep and certain lowers the limit; of an
+    engine, after a trial that shows that the latency falls with it. The limit
     rises by steps, as the loads above it are measured only while it is
     exceeded.
     """
@@ -215,19 +231,29 @@
         if 0 <= now_s - self._updated_s < UPDATE_S:
             return
         self._updated_s = now_s
-        wanted = self._wanted()
-        if wanted is not None and wanted < self.limit:
-            self._trial = None
-            self._set(wanted, now_s)
-        elif self._trial is not None:
+        if self._trial is not None:
             if now_s - self._trial.started_s >= TRIAL_S:
                 self._end_trial(self._trial, now_s)
-        elif self.limit < (wanted or self.max) and self._may_rise(now_s):
-            self._raise(now_s, is_trial=leads and self._is_engine)
-        elif leads and self._is_engine and self._is_full(now_s):
-            self._start_trial(
-                self.limit - max(1, self.limit // LOWER_PART), now_s
-            )
+            return
+        makes_trials = leads and self._is_engine
+        wanted = self._wanted()
+        if wanted is not None and wanted < self.limit:
+            if not makes_trials:
+                self._set(wanted, now_s)
+            elif self._may_lower(now_s):
+                self._start_trial(
+                    wanted,
+                    now_s,
+                    min_slope=CONFIRMING_SLOPE,
+                    min_errors=0.0,
+                )
+        elif (
+            makes_trials or wanted is None or self.limit < wanted
+        ) and self._may_rise(now_s):
+            self._raise(now_s, is_trial=makes_trials)
+        elif makes_trials and self._is_full(now_s):
+            part = max(1, self.limit // LOWER_PART)
+            self._start_trial(self.limit - part, now_s)
 
     def _wanted(self) -> int | None:
         """Return the limit by a bend that is steep and certain."""
@@ -246,33 +272,46 @@
         else:
             self._set(limit, now_s)
 
-    def _start_trial(self, limit: int, now_s: float) -> None:
-        self._trial = _Trial(former=self.limit, started_s=now_s)
+    def _start_trial(
+        self,
+        limit: int,
+        now_s: float,
+        *,
+        min_slope: float = CROWDED_SLOPE,
+        min_errors: float = MIN_TRIAL_ERRORS,
+    ) -> None:
+        self._trial = _Trial(
+            former=self.limit,
+            started_s=now_s,
+            before=self._recent.since(now_s - BEFORE_S),
+            min_slope=min_slope,
+            min_errors=min_errors,
+        )
         self._set(limit, now_s)
 
     def _end_trial(self, trial: _Trial, now_s: float) -> None:
         """Keep the limit that was tried, or return to the former one."""
         self._trial = None
-        result = self._recent.compare(trial.started_s, now_s)
-        is_crowded = (
-            result is not None
-            and abs(result.load_change) > MIN_LOAD_CHANGE
-            and result.slope > CROWDED_SLOPE
-        )
+        after = self._recent.since(trial.started_s + SETTLE_S)
+        result = None
+        if trial.before is not None and after is not None:
+            result = compare_answers(trial.before, after)
+        is_crowded = result is not None and result.slope > trial.min_slope
         if self.limit > trial.former:
             if is_crowded:
                 self._raise_after_s = min(
-                    MAX_RAISE_AFTER_S, 2 * self._raise_after_s
+                    MAX_RAISE_AFTER_S,
+                    2 * max(RAISE_AFTER_S, self._raise_after_s),
                 )
                 self._set(trial.former, now_s)
             else:
-                self._raise_after_s = RAISE_AFTER_S
+                self._raise_after_s = RAISE_AGAIN_AFTER_S
             return
         self._lowered_s = now_s
         if (
             result is not None
             and is_crowded
-            and result.slope > MIN_TRIAL_ERRORS * result.error
+            and result.slope > trial.min_errors * result.error
         ):
             self._lower_after_s = LOWER_AGAIN_AFTER_S
             return
@@ -287,18 +326,20 @@
         That is when the load can't rise, and the engine is slower than at
         small loads: because it is crowded, or by itself.
         """
-        if (
-            self.limit < 2
-            or now_s - self._lowered_s < self._lower_after_s
-            or self._is_known_uncrowded()
-        ):
+        if not self._may_lower(now_s) or self._is_known_uncrowded():
             return False
-        means = self._recent.means(now_s)
-        if means is None or self._uncrowded.count < MIN_UNCROWDED:
+        recent = self._recent.since(now_s - BEFORE_S)
+        if recent is None or self._uncrowded.count < MIN_UNCROWDED:
             return False
         return (
-            means[0] > log(FULL_SHARE * self.limit)
-            and means[1] > log(CROWDED_FACTOR) + self._uncrowded.value
+            recent.load > log(FULL_SHARE * self.limit)
+            and recent.slowdown > log(CROWDED_FACTOR) + self._uncrowded.value
+        )
+
+    def _may_lower(self, now_s: float) -> bool:
+        """Return whether the last trial of a lower limit was long ago."""
+        return (
+            self.limit > 1 and now_s - self._lowered_s >= self._lower_after_s
         )
 
     def _is_known_uncrowded(self) -> bool:
@@ -316,6 +357,8 @@
         A plain server gets more than usual only if its present limit was
         used in full.
         """
+        if self.limit >= self.max:
+            return False
         if self.limit >= self.usual:
             return self._peak_load >= self.limit and self._is_known_uncrowded()
         return (
--- a/tests/entry/capacity_model.py
+++ b/tests/entry/capacity_model.py
@@ -205,17 +205,13 @@
                 if instance.queue and (tick + index) % 3 == 0:
                     self._dispatch(instance, now_s)
             if tick % 100 == 0:
-                self._record_limits(now_s)
+                instance = self._instances[0]
+                for name, backend in instance.backends.items():
+                    limit = instance.capacity.limit(backend, now_s)
+                    self.result.limits.setdefault(name, []).append(limit)
         self.result.completed_per_s = self._completed / scenario.duration_s
         return self.result
 
-    def _record_limits(self, now_s: float) -> None:
-        instance = self._instances[0]
-        for name, backend in instance.backends.items():
-            self.result.limits.setdefault(name, []).append(
-                instance.capacity.limit(backend, now_s)
-            )
-
     def _arrive(self, now_s: float) -> None:
         random = self._random
         self.result.arrived += 1
