--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -51,6 +51,7 @@
 from azurewick.entry.reload import SettingsReloader
 from azurewick.entry.report_codec import OUTCOME_UNIT
 from azurewick.entry.request_body import BodyMemory
+from azurewick.entry.server_learning import ServerLearning
 from azurewick.entry.services import ServicePools
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.slot_grants import build_slot_grants
@@ -178,9 +179,11 @@
         self.state.evacuations.on_evacuation_end.append(
             self.cold_servers.end_evacuation
         )
+        self.state.on_change.append(self._forget_absent)
         self._move_writer = MoveWriter(
             store, kinds.moves, self._moves, monotonic_s
         )
+        self._learning = ServerLearning(settings, self._peers)
         self.pools = ServicePools(
             settings=settings,
             state=self.state,
@@ -190,6 +193,7 @@
             crash_guard=self._crash_guard,
             moves=self._moves,
             send_limits=self.cold_servers,
+            learning=self._learning,
             clock=monotonic_s,
             random=random,
             on_home_refusal=self.metrics.count_home_refusal,
@@ -406,8 +410,16 @@
         self._grants.election.set_peers(
             {name: peer.region for name, peer in peers.items()}
         )
+        self._forget_absent()
         self.pools.split_retry_budgets()
 
+    def _forget_absent(self) -> None:
+        """Forget what was learned of servers and peers that have left."""
+        self._learning.forget(
+            (backend.name for backend in self.state.registry),
+            self._peer_instances,
+        )
+
     def _announce_configuration(self, is_from_store: bool) -> None:
         """Tell peers at once that this instance has a new configuration.
 
@@ -451,6 +463,7 @@
             self.metrics.caller_bytes.set(
                 {}, self._caller_server.memory.held_bytes
             )
+        self._learning.update_metrics(self.metrics)
         return PeerReport(
             name=self.settings.name,
             incarnation=self._incarnation,
@@ -463,6 +476,8 @@
             },
             outcomes=self._recent_outcomes(now_s),
             speeds=self._recent_speeds(now_s),
+            capacity=self._learning.capacity_report(now_s),
+            engine_times=self._learning.times_report(now_s),
             quota_used=self._limiter.used(),
             suspicions=self._crash_guard.suspicions(),
             convictions=self._crash_guard.convictions(),
@@ -556,6 +571,7 @@
                 ),
             )
         self.cold_servers.record_claims(report.restarts, now_s)
+        self._learning.record_report(report, self.state.registry.find, now_s)
         self._crash_guard.record_peer(report.suspicions, report.convictions)
         self._moves.record_peer(
             report.name, report.incarnation, report.moves, now_s
--- a/azurewick/entry/exchange.py
+++ b/azurewick/entry/exchange.py
@@ -40,6 +40,7 @@
 from azurewick.entry.request_queue import Rank
 from azurewick.entry.send_limits import NoSendLimits
 from azurewick.entry.send_limits import SendLimits
+from azurewick.entry.server_learning import ServerLearning
 from azurewick.entry.stall_watchdog import StalledError
 from azurewick.entry.stall_watchdog import StallWatchdog
 from azurewick.entry.trace import AttemptTrace
@@ -114,6 +115,7 @@
     servers_age_s: Callable[[], float | None]
     clock: Callable[[], float]
     send_limits: SendLimits = field(default_factory=NoSendLimits)
+    learning: ServerLearning = field(default_factory=ServerLearning)
 
 
 class Exchange:
@@ -157,6 +159,8 @@
         self._withheld_by = ""
         # Whether the current attempt has been sent.
         self._is_sent = False
+        # Number of requests at that server when the attempt began.
+        self._sent_load = 0.0
         self._runs = 0
         # Whether a server has gone on after it had begun the answer.
         self._is_sound = False
@@ -278,7 +282,7 @@
         """Return the expected work, which is estimated once a request."""
         if self._work is None:
             self._work = self._parts.work_estimator.estimate(
-                self._route, self._request
+                self._route, self._request, self._parts.service
             )
         return self._work
 
@@ -288,6 +292,7 @@
         self._runs += 1
         self._backend = backend
         self._is_sent = False
+        self._sent_load = self._parts.learning.load(backend, now_s)
         self._parts.moves.record_sent(self._route, backend)
         call = BackendCall(
             request=self._request,
@@ -492,12 +497,14 @@
         attempt = self.trace.attempts[-1]
         if not self._route.has_prompt or attempt.first_byte_s is None:
             return
-        first_s = measure_work(self._request, 0).first_token_s
+        now_s = self._parts.clock()
+        first_s = attempt.first_byte_s - attempt.sent_s
+        nominal_s = measure_work(self._request, 0).first_token_s
         self._parts.moves.record_first(
-            self._route,
-            backend,
-            (attempt.first_byte_s - attempt.sent_s) / first_s,
-            self._parts.clock(),
+            self._route, backend, first_s / nominal_s, now_s
+        )
+        self._parts.learning.record_first(
+            backend, self._request, self._sent_load, first_s, now_s
         )
 
     def _handle_output(self, *, is_first: bool) -> None:
@@ -587,18 +594,30 @@
             self._route, self._request, tokens
         )
         now_s = self._parts.clock()
-        work = measure_work(self._request, tokens)
-        backend.record_slowdown(now_s - sent_s, work.total_s, now_s)
+        nominal_s = measure_work(self._request, tokens).total_s
+        took_s = now_s - sent_s
         self._parts.moves.record_total(
-            self._route, backend, (now_s - sent_s) / work.total_s, now_s
+            self._route, backend, took_s / nominal_s, now_s
         )
         attempt = self.trace.attempts[-1]
-        if attempt.first_byte_s is not None:
-            backend.speeds.add_first(
-                attempt.first_byte_s - attempt.sent_s,
-                work.first_token_s,
-                now_s,
-            )
+        first_s = (
+            None
+            if attempt.first_byte_s is None
+            else attempt.first_byte_s - attempt.sent_s
+        )
+        work = self._parts.learning.record_stream(
+            backend,
+            self._request,
+            load=self._sent_load,
+            output_tokens=tokens,
+            first_event_tokens=self._parts.tokens_per_event(),
+            first_s=first_s,
+            took_s=took_s,
+            now_s=now_s,
+        )
+        backend.record_slowdown(took_s, work.total_s, now_s)
+        if first_s is not None:
+            backend.speeds.add_first(first_s, work.first_token_s, now_s)
 
     def _record_answer(
         self, backend: Backend, head: AnswerHead, sent_s: float
@@ -613,8 +632,12 @@
         backend.record_success(now_s)
         if not self._route.is_stream:
             backend.record_slowdown(now_s - sent_s, NOMINAL_PLAIN_S, now_s)
+            slowdown = (now_s - sent_s) / NOMINAL_PLAIN_S
             self._parts.moves.record_total(
-                self._route, backend, (now_s - sent_s) / NOMINAL_PLAIN_S, now_s
+                self._route, backend, slowdown, now_s
+            )
+            self._parts.learning.record_answer(
+                backend, self._sent_load, slowdown, now_s
             )
 
     def _first_output_timeout_s(self) -> float | None:
--- a/azurewick/entry/metrics.py
+++ b/azurewick/entry/metrics.py
@@ -73,6 +73,26 @@
             "Weight of this instance in the elections of brokers.",
             registry=self.registry,
         )
+        self.capacity_limits = Gauge(
+            "azurewick_entry_capacity_limits",
+            "Sum of the learned limits of concurrent requests, by service.",
+            registry=self.registry,
+        )
+        self.limited_servers = Gauge(
+            "azurewick_entry_limited_servers",
+            "Servers whose learned limit is below the usual, by service.",
+            registry=self.registry,
+        )
+        self.engine_step_s = Gauge(
+            "azurewick_entry_engine_step_seconds",
+            "Learned time of a step at the mean load, by service.",
+            registry=self.registry,
+        )
+        self.engine_prompt_token_s = Gauge(
+            "azurewick_entry_engine_prompt_token_seconds",
+            "Learned time of a prompt token, by service.",
+            registry=self.registry,
+        )
         self._configurations = Counter(
             "azurewick_entry_configurations_total",
             "Configurations received, by source: store or peer.",
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -11,8 +11,10 @@
 
 from azurewick.entry.cold_reports import RestartClaim
 from azurewick.entry.departures import Departure
+from azurewick.entry.engine_times import TimeSums
 from azurewick.entry.evacuations import EvacuationList
 from azurewick.entry.outcomes import OutcomeCount
+from azurewick.entry.server_capacity import CapacityReport
 from azurewick.entry.slot_shares import SlotShares
 from azurewick.entry.speeds import SpeedSample
 from azurewick.entry.version_moves import MoveReport
@@ -73,6 +75,7 @@
     the servers, None before that. configuration is None before the sender has
     one. evacuations is None unless there are some or have lately been some.
     restarts is what it has seen of servers that may have restarted.
+    one. capacity and engine_times are empty in reports without them.
     """
 
     name: str
@@ -97,6 +100,8 @@
     evacuations: EvacuationList | None = None
     restarts: Sequence[RestartClaim] = ()
     processor_share: float = 0.0
+    capacity: CapacityReport = CapacityReport()
+    engine_times: Mapping[str, TimeSums] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -155,6 +160,9 @@
         silent = sum(self._is_silent(name, now_s) for name in others)
         return 1.0 - silent / len(others)
 
+        """Return the names of the live instances, this one included."""
+        return self._members
+
     @property
     def own_rank(self) -> tuple[int, int]:
         """Return this instance's place among the live ones, and their number.
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -18,10 +18,9 @@
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.send_limits import NoSendLimits
 from azurewick.entry.send_limits import SendLimits
+from azurewick.entry.server_capacity import AnnouncedCapacity
+from azurewick.entry.server_capacity import CapacityPolicy
 
-# Limit of requests at a server of a plain service, as a multiple of its
-# slots. The server queues the rest, which costs less than a refusal.
-PLAIN_SLOT_FACTOR = 2.0
 # Cost added for a server in another region, on the scale of the load: the
 # link between regions has little bandwidth and is billed by volume.
 REGION_PENALTY = 0.35
@@ -117,14 +116,16 @@
         random: Random,
         peers: PeerView,
         send_limits: SendLimits | None = None,
+        capacity: CapacityPolicy | None = None,
     ) -> None:
         self._send_limits = send_limits or NoSendLimits()
+        self._capacity = capacity or AnnouncedCapacity()
         self._slots: SlotSource = peers
         self._failure_domain = failure_domain
         self._regions = regions
         self._region = regions.get(failure_domain, "")
         self._random = random
-        self._rater = ServerRater(peers)
+        self._rater = ServerRater(peers, self._capacity)
 
     def with_slots(self, slots: SlotSource) -> LeastLoadPlacement:
         """Return a placement with another view of the slots.
@@ -232,7 +233,7 @@
                 continue
             total = self._send_limits.usable_slots(
                 backend,
-                _total_slots(backend),
+                self._capacity.limit(backend, now_s),
                 now_s,
                 ignores_sent=ignores_sent,
             )
@@ -257,7 +258,8 @@
         found = []
         for backend, _ in usable:
             if backend.is_engine:
-                unused = shares.unused(backend.entry.slots, backend.name)
+                total = self._capacity.limit(backend, now_s)
+                unused = shares.unused(total, backend.name)
                 if unused - self._used(backend, now_s) >= OPEN_SLOTS:
                     found.append((backend, unused))
         return found
@@ -311,7 +313,9 @@
     def _used(self, backend: Backend, now_s: float) -> int:
         """Return the number of requests that count against the limit."""
         return self._slots.slot_shares(now_s).used(
-            _total_slots(backend), backend.name, backend.in_flight
+            self._capacity.limit(backend, now_s),
+            backend.name,
+            backend.in_flight,
         )
 
     def _is_near(self, backend: Backend) -> bool:
@@ -347,12 +351,6 @@
         return REGION_PENALTY
 
 
-def _total_slots(backend: Backend) -> int:
-    if backend.is_engine:
-        return backend.entry.slots
-    return round(backend.entry.slots * PLAIN_SLOT_FACTOR)
-
-
 def _lateness_steps(demand: Demand, slowdown: float, now_s: float) -> int:
     """Return by how much the first output may miss the target.
 
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -12,10 +12,14 @@
 
 import orjson
 
+from azurewick.entry.capacity_codec import encode_capacity
+from azurewick.entry.capacity_codec import read_capacity
 from azurewick.entry.cold_reports import encode_claims
 from azurewick.entry.cold_reports import read_claims
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import DepartureSource
+from azurewick.entry.engine_times import encode_times
+from azurewick.entry.engine_times import read_times
 from azurewick.entry.evacuations import decode_evacuations
 from azurewick.entry.evacuations import encode_evacuations
 from azurewick.entry.outcomes import OutcomeCount
@@ -68,6 +72,7 @@
 KEY_EVACUATIONS = "e"
 KEY_RESTARTS = "k"
 KEY_PROCESSOR_SHARE = "P"
+KEY_CAPACITY = "h"
 # Sources of departures in reports, by index.
 DEPARTURE_SOURCES = tuple(DepartureSource)
 
@@ -135,6 +140,11 @@
         fields[KEY_RESTARTS] = encode_claims(report.restarts)
     if report.processor_share:
         fields[KEY_PROCESSOR_SHARE] = round(report.processor_share, 2)
+    if report.capacity or report.engine_times:
+        fields[KEY_CAPACITY] = [
+            *encode_capacity(report.capacity),
+            encode_times(report.engine_times),
+        ]
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -172,6 +182,8 @@
             processor_share=max(
                 0.0, _read_float(body.get(KEY_PROCESSOR_SHARE, 0.0))
             ),
+            capacity=read_capacity(body.get(KEY_CAPACITY)),
+            engine_times=read_times((body.get(KEY_CAPACITY) or [])[3:]),
         )
     except (
         AttributeError,
--- a/azurewick/entry/services.py
+++ b/azurewick/entry/services.py
@@ -24,6 +24,7 @@
 from azurewick.entry.request_age import RequestAgeEstimator
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.send_limits import SendLimits
+from azurewick.entry.server_learning import ServerLearning
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.slot_grants import SlotGrants
 from azurewick.entry.state import FleetState
@@ -53,6 +54,7 @@
         crash_guard: CrashGuard,
         moves: VersionMoves,
         send_limits: SendLimits,
+        learning: ServerLearning,
         clock: Callable[[], float],
         random: Random,
         on_home_refusal: Callable[
@@ -65,7 +67,9 @@
         self._protocol = protocol
         self._clock = clock
         self._random = random
-        self._work_estimator = WorkEstimator()
+        self._work_estimator = WorkEstimator(
+            lambda service: learning.timings(service, clock())
+        )
         self._request_ages = RequestAgeEstimator()
         self._parts: dict[str, ExchangeParts] = {}
         self.placement = LeastLoadPlacement(
@@ -74,8 +78,10 @@
             random=random,
             peers=peers,
             send_limits=send_limits,
+            capacity=learning.capacity,
         )
         self._send_limits = send_limits
+        self._learning = learning
         # Without it, each instance uses its own shares.
         self.grants: SlotGrants | None = None
         self._peers = peers
@@ -130,13 +136,15 @@
 
     def max_run_s(self, route: Route, request: CallerRequest) -> float:
         """Return how long a request may run at the slowest server."""
-        slowdowns = [
-            backend.slowdown
-            for service in route.services
-            for backend in self._moves.serving(service.name)
-        ]
-        slowdown = max(slowdowns, default=1.0)
-        return self._work_estimator.max_work_s(route, request) * slowdown
+        return max(
+            (
+                backend.slowdown
+                * self._work_estimator.max_work_s(route, request, service.name)
+                for service in route.services
+                for backend in self._moves.serving(service.name)
+            ),
+            default=self._work_estimator.max_work_s(route, request),
+        )
 
     def dispatch_waiting(self) -> None:
         """Dispatch waiting requests to free slots."""
@@ -166,6 +174,7 @@
             request_ages=self._request_ages,
             crash_guard=self._crash_guard,
             moves=self._moves,
+            learning=self._learning,
             tokens_per_event=partial(self._tokens_per_event, service),
             record_departure=partial(
                 self._state.record_departure, source=SOURCE_SERVER
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -32,6 +32,9 @@
     requests more. follows_evacuations is set where operators may order that
     a failure domain's servers get no requests. uses_slot_grants is unset to
     place requests by the instance's own shares instead of a broker's grants.
+    With learns_capacity the limit of concurrent requests of each server is
+    learned from its latencies, and with learns_engine_times the times of each
+    service's engines.
     """
 
     name: str
@@ -63,3 +66,5 @@
     cold_allowance: float = 0.0
     follows_evacuations: bool = False
     uses_slot_grants: bool = True
+    learns_capacity: bool = False
+    learns_engine_times: bool = False
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -111,6 +111,13 @@
     evacuate_ms: Amount | None = None
 
 
+class LearningTable(Struct, frozen=True):
+    """What instances learn from measurements, in place of fixed values."""
+
+    learns_capacity: bool = False
+    learns_engine_times: bool = False
+
+
 class StoreTable(Struct, frozen=True):
     """Address of the platform's store."""
 
@@ -128,6 +135,7 @@
     listen: ListenTable
     limits: LimitsTable = LimitsTable()
     bounds: BoundsTable = BoundsTable()
+    learning: LearningTable = LearningTable()
     platform: StoreTable
     # First and last port for the processes of the scheduler. The first one
     # serves the metrics; the second one receives messages of peers.
@@ -197,6 +205,8 @@
         cold_allowance=bounds.cold_slack,
         follows_evacuations=bounds.evacuate_ms is not None,
         uses_slot_grants=node.uses_slot_grants,
+        learns_capacity=node.learning.learns_capacity,
+        learns_engine_times=node.learning.learns_engine_times,
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -57,6 +57,15 @@
         with self.assertRaises(AzurewickError):
             parse_node_file(build_node_text(uses_slot_grants=[]))
 
+    def test_learning_is_off_unless_it_is_switched_on(self):
+        settings = parse_node_file(build_node_text())
+        for name in ("learns_capacity", "learns_engine_times"):
+            self.assertFalse(getattr(settings, name))
+            text = build_node_text(learning={name: True})
+            self.assertTrue(getattr(parse_node_file(text), name))
+            with self.assertRaises(AzurewickError):
+                parse_node_file(build_node_text(learning={name: 2}))
+
     def test_odd_numbers_are_invalid(self):
         for changes in (
             {"limits": {"max_fds": "9" * 400}},
