Weigh brokers by their cores; import what learns only where it is on; end begun streams that no other server can take

The fake of a test lacked the servers that are withheld.

The modules of the learned capacity are imported only where they are on; they lengthened the start of each process.

--- a/azurewick/entry/application.py
+++ b/azurewick/entry/application.py
@@ -84,6 +84,8 @@
 CLOSE_TIMEOUT_S = 0.2
 # Peers that are told of a configuration that a peer has provided.
 ANNOUNCED_PEERS = 4
+# Exponent of an instance's cores in its weight as a broker of slots.
+BROKER_CORES_EXPONENT = 2.0
 # Connections on which no request arrives within this time are closed.
 FIRST_REQUEST_TIMEOUT_S = 15.0
 # Connections at the address of the health checks.
@@ -445,8 +447,13 @@
         )
 
     def _set_processor_share(self, share: float) -> None:
-        """Report a share; 0 without slot grants, as a broker needs them."""
-        share = share if self.settings.uses_slot_grants else 0.0
+        """Report a share; 0 without slot grants, as a broker needs them.
+
+        A large instance counts for more than its part: a broker handles the
+        messages of all instances, and is late on a small one in a burst.
+        """
+        weight = self.settings.processor_cores**BROKER_CORES_EXPONENT
+        share = weight * share if self.settings.uses_slot_grants else 0.0
         self._grants.election.own_share = share
         self._grants.election.expire()
         self.metrics.processor_share.set({}, share)
--- a/azurewick/entry/capacity_baselines.py
+++ b/azurewick/entry/capacity_baselines.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from azurewick.entry.backends import Backend
-from azurewick.entry.server_capacity import AnnouncedCapacity
-from azurewick.entry.server_capacity import usual_limit
+from azurewick.entry.capacity_policy import AnnouncedCapacity
+from azurewick.entry.capacity_policy import usual_limit
 
 # An answer that takes this multiple of the shortest one lowers the limit.
 DELAY_FACTOR = 2.0
--- a/azurewick/entry/capacity_codec.py
+++ b/azurewick/entry/capacity_codec.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from azurewick.entry.server_capacity import CapacityReport
-from azurewick.entry.server_capacity import LoadSample
+from azurewick.entry.capacity_policy import CapacityReport
+from azurewick.entry.capacity_policy import LoadSample
 from azurewick.entry.server_capacity import MAX_REPORTED_LIMITS
 from azurewick.entry.server_capacity import MAX_REPORTED_SAMPLES
 
--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -143,6 +143,8 @@
         self, demand: Demand, budget_s: float, now_s: float
     ) -> None:
         """Refuse a request if no server wants any within its time."""
+        if demand.is_started and not self._has_other_server(demand):
+            raise overloaded_error("no other server can go on", 0.0)
         pause_s = self._pause_left_s(demand, now_s)
         if pause_s > budget_s:
             raise overloaded_error(
@@ -232,6 +234,13 @@
             more_urgent_per_s *= capacity / total if total else 1.0
         return predict_wait_s(work_ahead_s, capacity, more_urgent_per_s)
 
+    def _has_other_server(self, demand: Demand) -> bool:
+        """Return whether a server hasn't been tried yet."""
+        return any(
+            backend.name not in demand.excluded
+            for backend in self._candidates(demand)
+        )
+
     def _can_overtake(self, demand: Demand) -> bool:
         """Return whether a server is free that the requests ahead can't use.
 
--- a/azurewick/entry/gossip.py
+++ b/azurewick/entry/gossip.py
@@ -17,12 +17,12 @@
 from azurewick.entry.broker_messages import encode_message
 from azurewick.entry.broker_messages import is_broker_message
 from azurewick.entry.broker_messages import Message
+from azurewick.entry.capacity_policy import CapacityReport
 from azurewick.entry.instances import PeerInstance
 from azurewick.entry.peers import LARGE_FLEET_INSTANCES
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.report_codec import decode_report
 from azurewick.entry.report_codec import encode_report
-from azurewick.entry.server_capacity import CapacityReport
 from azurewick.errors import AzurewickError
 from azurewick.helpers.address import split_address
 from azurewick.helpers.clock import monotonic_s
--- a/azurewick/entry/learned_capacity.py
+++ b/azurewick/entry/learned_capacity.py
@@ -11,8 +11,8 @@
 from zlib import crc32
 
 from azurewick.entry.backends import Backend
-from azurewick.entry.server_capacity import CapacityReport
-from azurewick.entry.server_capacity import LoadSample
+from azurewick.entry.capacity_policy import CapacityReport
+from azurewick.entry.capacity_policy import LoadSample
 from azurewick.entry.server_capacity import MAX_REPORTED_AGE_S
 from azurewick.entry.server_capacity import MAX_REPORTED_LIMITS
 from azurewick.entry.server_capacity import MAX_REPORTED_SAMPLES
--- a/azurewick/entry/peers.py
+++ b/azurewick/entry/peers.py
@@ -8,13 +8,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 
+from azurewick.entry.capacity_policy import CapacityReport
 from azurewick.entry.cold_reports import RestartClaim
 from azurewick.entry.departures import Departure
-from azurewick.entry.engine_times import TimeSums
 from azurewick.entry.evacuations import EvacuationList
 from azurewick.entry.outcomes import OutcomeCount
-from azurewick.entry.server_capacity import CapacityReport
 from azurewick.entry.slot_shares import SlotShares
 from azurewick.entry.speeds import SpeedSample
 from azurewick.entry.version_moves import MoveReport
@@ -23,6 +23,10 @@
 from azurewick.replication.models import ConfigurationNotice
 from azurewick.util.decaying_rate import DecayingRate
 
+if TYPE_CHECKING:
+    # Imported only where engine times are learned.
+    from azurewick.entry.engine_times import TimeSums
+
 # A peer without reports for this long counts as silent and is assumed to use
 # its shares in full. Several reports are sent in this time, as datagrams may
 # get lost.
--- a/azurewick/entry/placement.py
+++ b/azurewick/entry/placement.py
@@ -11,6 +11,8 @@
 from typing import Protocol
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.capacity_policy import AnnouncedCapacity
+from azurewick.entry.capacity_policy import CapacityPolicy
 from azurewick.entry.peers import PeerView
 from azurewick.entry.prompt_affinity import choose_homes
 from azurewick.entry.ratings import Ratings
@@ -18,8 +20,6 @@
 from azurewick.entry.request_queue import Demand
 from azurewick.entry.send_limits import NoSendLimits
 from azurewick.entry.send_limits import SendLimits
-from azurewick.entry.server_capacity import AnnouncedCapacity
-from azurewick.entry.server_capacity import CapacityPolicy
 
 # Cost added for a server in another region, on the scale of the load: the
 # link between regions has little bandwidth and is billed by volume.
--- a/azurewick/entry/ratings.py
+++ b/azurewick/entry/ratings.py
@@ -8,11 +8,11 @@
 from logging import getLogger
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.capacity_policy import AnnouncedCapacity
+from azurewick.entry.capacity_policy import CapacityPolicy
 from azurewick.entry.outcomes import find_suspects
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import PeerView
-from azurewick.entry.server_capacity import AnnouncedCapacity
-from azurewick.entry.server_capacity import CapacityPolicy
 from azurewick.entry.speeds import SpeedSample
 
 _LOGGER = getLogger(__name__)
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -12,14 +12,10 @@
 
 import orjson
 
-from azurewick.entry.capacity_codec import encode_capacity
-from azurewick.entry.capacity_codec import read_capacity
 from azurewick.entry.cold_reports import encode_claims
 from azurewick.entry.cold_reports import read_claims
 from azurewick.entry.departures import Departure
 from azurewick.entry.departures import DepartureSource
-from azurewick.entry.engine_times import encode_times
-from azurewick.entry.engine_times import read_times
 from azurewick.entry.evacuations import decode_evacuations
 from azurewick.entry.evacuations import encode_evacuations
 from azurewick.entry.outcomes import OutcomeCount
@@ -141,10 +137,7 @@
     if report.processor_share:
         fields[KEY_PROCESSOR_SHARE] = round(report.processor_share, 2)
     if report.capacity or report.engine_times:
-        fields[KEY_CAPACITY] = [
-            *encode_capacity(report.capacity),
-            encode_times(report.engine_times),
-        ]
+        fields[KEY_CAPACITY] = _encode_learned(report)
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -182,8 +175,7 @@
             processor_share=max(
                 0.0, _read_float(body.get(KEY_PROCESSOR_SHARE, 0.0))
             ),
-            capacity=read_capacity(body.get(KEY_CAPACITY)),
-            engine_times=read_times((body.get(KEY_CAPACITY) or [])[3:]),
+            **_read_learned(body.get(KEY_CAPACITY)),
         )
     except (
         AttributeError,
@@ -255,6 +247,30 @@
     )
 
 
+def _encode_learned(report: PeerReport) -> list[Any]:
+    # Imported only where something is learned, as a start takes longer.
+    from azurewick.entry.capacity_codec import encode_capacity
+    from azurewick.entry.engine_times import encode_times
+
+    return [
+        *encode_capacity(report.capacity),
+        encode_times(report.engine_times),
+    ]
+
+
+def _read_learned(body: Any) -> dict[str, Any]:
+    """Return the fields of a report about learned limits and times."""
+    if body is None:
+        return {}
+    from azurewick.entry.capacity_codec import read_capacity
+    from azurewick.entry.engine_times import read_times
+
+    return {
+        "capacity": read_capacity(body),
+        "engine_times": read_times(body[3:]),
+    }
+
+
 def _read_age(value: Any) -> float | None:
     return None if value is None else max(0.0, _read_int(value) * AGE_UNIT_S)
 
--- a/azurewick/entry/server_capacity.py
+++ b/azurewick/entry/server_capacity.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
-from dataclasses import field
 from math import log
-from typing import Protocol
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.capacity_policy import PLAIN_SLOT_FACTOR
+from azurewick.entry.capacity_policy import usual_limit
 from azurewick.entry.limit_trial import Answers
 from azurewick.entry.limit_trial import BEFORE_S
 from azurewick.entry.limit_trial import compare_answers
@@ -26,9 +25,6 @@
 from azurewick.entry.server_speed import ServerSpeed
 from azurewick.entry.slot_shares import OVERCOMMIT_SLOTS
 
-# Limit of requests at a server of a plain service, as a multiple of what it
-# runs at once. The server queues the rest, which costs less than a refusal.
-PLAIN_SLOT_FACTOR = 2.0
 # Largest limit of a plain server, as a multiple of its slots.
 MAX_PLAIN_SLOT_FACTOR = 3.0
 # Loads at which the curve may bend, as multiples of the slots. A plain server
@@ -84,66 +80,6 @@
 MAX_REPORTED_LIMITS = 32
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LoadSample:
-    """Time of an answer at a server, relative to that expected.
-
-    number counts the samples of an instance. load is the number of requests
-    at the server, those of the peers included. It is 0 if the time is that to
-    the first output, which says little about the load.
-    """
-
-    number: int
-    server: str
-    load: float
-    slowdown: float
-    age_s: float = 0.0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CapacityReport:
-    """Newest measurements of an instance, and the limits below the usual."""
-
-    samples: tuple[LoadSample, ...] = ()
-    limits: Mapping[str, int] = field(default_factory=dict)
-
-    def __bool__(self) -> bool:
-        return bool(self.samples or self.limits)
-
-
-class CapacityPolicy(Protocol):
-    """Policy for the number of requests that a server may have."""
-
-    def limit(self, backend: Backend, now_s: float) -> int:
-        """Return the limit for all instances together."""
-
-    def slowdown(
-        self, backend: Backend, average: float, now_s: float
-    ) -> float:
-        """Return the present slowdown; average is that of a longer time."""
-
-
-class AnnouncedCapacity:
-    """Baseline: an engine's slots, and a multiple of a plain server's."""
-
-    def limit(self, backend: Backend, now_s: float) -> int:
-        """Return the limit for all instances together."""
-        return usual_limit(backend)
-
-    def slowdown(
-        self, backend: Backend, average: float, now_s: float
-    ) -> float:
-        """Return the average."""
-        return average
-
-
-def usual_limit(backend: Backend) -> int:
-    """Return the limit of a server of which nothing is known."""
-    if backend.is_engine:
-        return backend.entry.slots
-    return round(backend.entry.slots * PLAIN_SLOT_FACTOR)
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Trial:
     """Trial of another limit than the former one.
--- a/azurewick/entry/server_learning.py
+++ b/azurewick/entry/server_learning.py
@@ -5,25 +5,27 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 from azurewick.entry.backends import Backend
-from azurewick.entry.engine_times import EngineTimes
-from azurewick.entry.engine_times import StreamTimes
-from azurewick.entry.engine_times import TimeSums
-from azurewick.entry.learned_capacity import LearnedCapacity
+from azurewick.entry.capacity_policy import AnnouncedCapacity
+from azurewick.entry.capacity_policy import CapacityPolicy
+from azurewick.entry.capacity_policy import CapacityReport
 from azurewick.entry.metrics import EntryMetrics
 from azurewick.entry.models import CallerRequest
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
-from azurewick.entry.server_capacity import AnnouncedCapacity
-from azurewick.entry.server_capacity import CapacityPolicy
-from azurewick.entry.server_capacity import CapacityReport
 from azurewick.entry.settings import EntrySettings
 from azurewick.entry.work import EngineTimings
 from azurewick.entry.work import measure_work
 from azurewick.entry.work import NOMINAL_TIMINGS
 from azurewick.entry.work import WorkEstimate
 
+if TYPE_CHECKING:
+    from azurewick.entry.engine_times import EngineTimes
+    from azurewick.entry.engine_times import TimeSums
+    from azurewick.entry.learned_capacity import LearnedCapacity
+
 
 class ServerLearning:
     """Passes measurements to what learns from them; the settings choose it.
@@ -42,11 +44,9 @@
         if settings is None or peers is None:
             return
         if settings.learns_engine_times:
-            self._times = EngineTimes()
+            self._times = _build_engine_times()
         if settings.learns_capacity:
-            self._learned = LearnedCapacity(
-                settings.name, lambda: peers.members
-            )
+            self._learned = _build_learned_capacity(settings.name, peers)
 
     @property
     def capacity(self) -> CapacityPolicy:
@@ -124,6 +124,8 @@
             return work
         mean_load = (load + self.load(backend, now_s)) / 2
         if first_s is not None and backend.is_engine:
+            from azurewick.entry.engine_times import StreamTimes
+
             self._times.record(
                 StreamTimes(
                     server=backend.name,
@@ -190,3 +192,16 @@
             labels = {"service": service}
             metrics.engine_step_s.set(labels, timings.output_token_s)
             metrics.engine_prompt_token_s.set(labels, timings.prefill_token_s)
+
+
+# A start takes longer with the modules that learn.
+def _build_engine_times() -> EngineTimes:
+    from azurewick.entry import engine_times
+
+    return engine_times.EngineTimes()
+
+
+def _build_learned_capacity(own_name: str, peers: PeerView) -> LearnedCapacity:
+    from azurewick.entry import learned_capacity
+
+    return learned_capacity.LearnedCapacity(own_name, lambda: peers.members)
--- a/azurewick/entry/settings.py
+++ b/azurewick/entry/settings.py
@@ -14,7 +14,8 @@
     """Addresses and limits of one entry instance.
 
     Addresses are "IP:port"; other entry instances send datagrams to
-    peer_address. link_mbit_per_s is the bandwidth of the instance's own link.
+    peer_address. link_mbit_per_s is the bandwidth of the instance's own link,
+    and processor_cores what it may use of the processor, in cores.
     regions maps failure domains to regions. body_memory_bytes is the memory
     that the bodies of requests may take together, and body_customer_share the
     share of it for one customer; caller_limits bound what callers' connections
@@ -47,6 +48,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     metrics_address: str | None = None
     link_mbit_per_s: float = 100.0
+    processor_cores: float = 1.0
     max_connections: int = 600
     body_memory_bytes: int = 67_108_864
     body_customer_share: float = 0.8
--- a/azurewick/platform/settings.py
+++ b/azurewick/platform/settings.py
@@ -71,6 +71,9 @@
     unread for unread_answer_s are given up.
     """
 
+    # Part of each core that the process may use.
+    cpu_share: Annotated[float, Meta(gt=0, le=1e4)] = 1.0
+    cores: Annotated[float, Meta(gt=0, le=1e4)] = 1.0
     max_fds: Annotated[int, Meta(gt=0, le=2**31)] = 1024
     memory_mb: Annotated[float, Meta(gt=0, le=2**31)] = 256.0
     link_mbps: Annotated[float, Meta(gt=0, le=1e9)] = 100.0
@@ -177,6 +180,7 @@
         peer_address=f"{host}:{first_port + 1}",
         store_address=node.platform.addr,
         link_mbit_per_s=node.limits.link_mbps,
+        processor_cores=node.limits.cpu_share * node.limits.cores,
         max_connections=max_connections,
         peer_connections=peer_connections,
         listen_backlog=max(MIN_BACKLOG, min(BACKLOG, left)),
--- a/tests/entry/capacity_model.py
+++ b/tests/entry/capacity_model.py
@@ -15,12 +15,12 @@
 from azurewick.entry.backends import Backend
 from azurewick.entry.capacity_baselines import DelayCapacity
 from azurewick.entry.capacity_baselines import UnlimitedCapacity
+from azurewick.entry.capacity_policy import AnnouncedCapacity
+from azurewick.entry.capacity_policy import CapacityPolicy
 from azurewick.entry.exchange import MAX_REJECTIONS
 from azurewick.entry.learned_capacity import LearnedCapacity
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.placement import LeastLoadPlacement
-from azurewick.entry.server_capacity import AnnouncedCapacity
-from azurewick.entry.server_capacity import CapacityPolicy
 from azurewick.entry.work import WorkEstimate
 from tests.entry.builders import build_demand
 from tests.entry.builders import build_entry
--- a/tests/entry/test_broker_client.py
+++ b/tests/entry/test_broker_client.py
@@ -44,6 +44,9 @@
     def serving(self, service, demand):
         return self.backends
 
+    def withheld(self, now_s):
+        return frozenset()
+
     def is_own_region(self, group):
         return group == HOME
 
--- a/tests/entry/test_server_capacity.py
+++ b/tests/entry/test_server_capacity.py
@@ -7,14 +7,14 @@
 from unittest import TestCase
 
 from azurewick.entry.backends import Backend
+from azurewick.entry.capacity_policy import CapacityReport
+from azurewick.entry.capacity_policy import LoadSample
 from azurewick.entry.learned_capacity import LearnedCapacity
 from azurewick.entry.learned_capacity import MIN_LEADER_SAMPLES
 from azurewick.entry.learned_capacity import PEER_TTL_S
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.report_codec import decode_report
 from azurewick.entry.report_codec import encode_report
-from azurewick.entry.server_capacity import CapacityReport
-from azurewick.entry.server_capacity import LoadSample
 from azurewick.entry.server_capacity import MAX_REPORTED_SAMPLES
 from azurewick.entry.server_capacity import ServerCapacity
 from azurewick.errors import AzurewickError
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -50,6 +50,14 @@
         self.assertIn("zone", caught.exception.message)
         self.assertIn("platform.addr", caught.exception.message)
 
+    def test_processor_is_the_part_of_all_cores(self):
+        limits = {"max_fds": 4100, "cpu_share": 0.717, "cores": 3}
+        settings = parse_node_file(build_node_text(limits=limits))
+        self.assertAlmostEqual(2.151, settings.processor_cores)
+        self.assertEqual(
+            1.0, parse_node_file(build_node_text()).processor_cores
+        )
+
     def test_slot_grants_can_be_switched_off(self):
         self.assertTrue(parse_node_file(build_node_text()).uses_slot_grants)
         text = build_node_text(uses_slot_grants=False)
