Guard the connections between the parts; one rule for home regions

Cause: the merged parts were connected by hand, and of eight faults put back there (evacuation end not passed on, asks without the servers that cold budgets withhold, a broker that applies its own budgets to others, no weight by cores, asks with old home regions, begun streams refused or waiting in vain) seven left the tests green. The broker's groups also had a copy of the rule for home regions.

--- a/azurewick/entry/dispatcher.py
+++ b/azurewick/entry/dispatcher.py
@@ -143,8 +143,7 @@
         self, demand: Demand, budget_s: float, now_s: float
     ) -> None:
         """Refuse a request if no server wants any within its time."""
-        if demand.is_started and not self._has_other_server(demand):
-            raise overloaded_error("no other server can go on", 0.0)
+        self.raise_if_exhausted(demand)
         pause_s = self._pause_left_s(demand, now_s)
         if pause_s > budget_s:
             raise overloaded_error(
@@ -234,12 +233,16 @@
             more_urgent_per_s *= capacity / total if total else 1.0
         return predict_wait_s(work_ahead_s, capacity, more_urgent_per_s)
 
-    def _has_other_server(self, demand: Demand) -> bool:
-        """Return whether a server hasn't been tried yet."""
-        return any(
-            backend.name not in demand.excluded
+    def raise_if_exhausted(self, demand: Demand) -> None:
+        """Raise AzurewickError if no server is left to resume a stream.
+
+        The caller waits for the rest, which then has to end at once.
+        """
+        if demand.is_started and all(
+            backend.name in demand.excluded
             for backend in self._candidates(demand)
-        )
+        ):
+            raise overloaded_error("no other server can resume the stream", 0)
 
     def _can_overtake(self, demand: Demand) -> bool:
         """Return whether a server is free that the requests ahead can't use.
--- a/azurewick/entry/grant_dispatcher.py
+++ b/azurewick/entry/grant_dispatcher.py
@@ -56,6 +56,7 @@
         now_s = self._clock()
         budget_s = wait_budget_s(demand, now_s)
         self._demand_rate.add(demand.work.total_s, now_s)
+        self._local.raise_if_exhausted(demand)
         self._local.raise_if_paused(demand, budget_s, now_s)
         loop = get_running_loop()
         future: Future[GrantResult] = loop.create_future()
--- a/azurewick/entry/report_codec.py
+++ b/azurewick/entry/report_codec.py
@@ -18,6 +18,8 @@
 from azurewick.entry.departures import DepartureSource
 from azurewick.entry.evacuations import decode_evacuations
 from azurewick.entry.evacuations import encode_evacuations
+from azurewick.entry.learned_reports import encode_learned
+from azurewick.entry.learned_reports import read_learned
 from azurewick.entry.outcomes import OutcomeCount
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.speeds import SpeedSample
@@ -137,7 +139,7 @@
     if report.processor_share:
         fields[KEY_PROCESSOR_SHARE] = round(report.processor_share, 2)
     if report.capacity or report.engine_times:
-        fields[KEY_CAPACITY] = _encode_learned(report)
+        fields[KEY_CAPACITY] = encode_learned(report)
     if report.has_lost_store:
         fields[KEY_HAS_LOST_STORE] = True
     return compress(orjson.dumps(fields), COMPRESSION_LEVEL)
@@ -175,7 +177,7 @@
             processor_share=max(
                 0.0, _read_float(body.get(KEY_PROCESSOR_SHARE, 0.0))
             ),
-            **_read_learned(body.get(KEY_CAPACITY)),
+            **read_learned(body.get(KEY_CAPACITY)),
         )
     except (
         AttributeError,
@@ -247,30 +249,6 @@
     )
 
 
-def _encode_learned(report: PeerReport) -> list[Any]:
-    # Imported only where something is learned, as a start takes longer.
-    from azurewick.entry.capacity_codec import encode_capacity
-    from azurewick.entry.engine_times import encode_times
-
-    return [
-        *encode_capacity(report.capacity),
-        encode_times(report.engine_times),
-    ]
-
-
-def _read_learned(body: Any) -> dict[str, Any]:
-    """Return the fields of a report about learned limits and times."""
-    if body is None:
-        return {}
-    from azurewick.entry.capacity_codec import read_capacity
-    from azurewick.entry.engine_times import read_times
-
-    return {
-        "capacity": read_capacity(body),
-        "engine_times": read_times(body[3:]),
-    }
-
-
 def _read_age(value: Any) -> float | None:
     return None if value is None else max(0.0, _read_int(value) * AGE_UNIT_S)
 
--- a/azurewick/entry/slot_grants.py
+++ b/azurewick/entry/slot_grants.py
@@ -20,6 +20,7 @@
 from azurewick.entry.broker_messages import Queued
 from azurewick.entry.broker_messages import Refusal
 from azurewick.entry.fleet_counts import FleetCounts
+from azurewick.entry.home_regions import select_servers
 from azurewick.entry.peers import PeerReport
 from azurewick.entry.peers import PeerView
 from azurewick.entry.pending_asks import GrantResult
@@ -103,13 +104,13 @@
 
     def serving(self, service: str, demand: Demand) -> Sequence[Backend]:
         """Return the servers of a service that may get a request."""
-        return [
-            backend
-            for backend in self._moves.serving(
-                service, on_new_version=demand.on_new_version
-            )
-            if self._is_home(backend, demand)
-        ]
+        servers = self._moves.serving(
+            service, on_new_version=demand.on_new_version
+        )
+        home_regions = demand.current_home_regions()
+        if home_regions is None:
+            return servers
+        return select_servers(servers, home_regions, self._regions)
 
     def candidates(self, group: Group, demand: Demand) -> Sequence[Backend]:
         """Return the engines of a group that may get a request."""
@@ -128,12 +129,6 @@
         """Return whether an instance is in the own region."""
         return self._region_of(instance) == self._own_region
 
-    def _is_home(self, backend: Backend, demand: Demand) -> bool:
-        homes = demand.current_home_regions()
-        if homes is None:
-            return True
-        return self._regions.get(backend.entry.failure_domain) in homes
-
 
 class SlotGrants:
     """Broker part and asker part of an instance, and the way between them.
--- a/tests/entry/test_broker_client.py
+++ b/tests/entry/test_broker_client.py
@@ -29,6 +29,7 @@
     def __init__(self):
         self.brokers = {HOME: ["b1", "b2"], AWAY: ["b3"]}
         self.backends = [Backend(entry=build_entry("s1"))]
+        self.withheld_names = frozenset()
 
     def broker(self, group, now_s):
         return next(iter(self.brokers[group]), None)
@@ -45,7 +46,7 @@
         return self.backends
 
     def withheld(self, now_s):
-        return frozenset()
+        return self.withheld_names
 
     def is_own_region(self, group):
         return group == HOME
@@ -149,6 +150,15 @@
         self.client.release(backend, 0.3)
         self.assertEqual(("b1", Release(key=key, server="s1")), self.sent[-1])
 
+    def test_withheld_server_is_excluded_and_its_grant_returned(self):
+        """Else a cold server got more than this instance's part."""
+        self.fleet.withheld_names = frozenset({"s1"})
+        key = self.ask().key
+        self.assertEqual(("s1",), self.sent[0][1].excluded)
+        self.client.handle(Grant(key=key, server="s1"), "b1", 0.01)
+        self.assertIn(("b1", Release(key=key, server="s1")), self.sent)
+        self.assertEqual([], self.results)
+
 
 class SpilloverTest(FakeBrokersCase):
     """Guards against requests that wait while another region has free slots.
--- a/tests/entry/test_broker_messages.py
+++ b/tests/entry/test_broker_messages.py
@@ -71,6 +71,15 @@
         self.assertAlmostEqual(7.5, ask.demand.target_s)
         self.assertAlmostEqual(10.0, ask.demand.deadline_at_s)
 
+    def test_ask_has_the_home_regions_in_force(self):
+        """The configuration may have changed since the request arrived."""
+        demand = replace(
+            ASK.demand, find_home_regions=lambda: frozenset({"away"})
+        )
+        data = encode_message(replace(ASK, demand=demand), "e1", 100.0)
+        _, ask = decode_message(data, "e2", 100.0)
+        self.assertEqual({"away"}, ask.demand.home_regions)
+
     def test_ask_with_many_excluded_servers_stays_small(self):
         names = tuple(f"server-of-the-service-{i:040}" for i in range(20))
         data = encode_message(replace(ASK, excluded=names), "e1", 0.0)
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -99,3 +99,16 @@
         for task in waiting[:-1]:
             task.cancel()
         await asyncio.gather(*waiting, return_exceptions=True)
+
+    async def test_begun_stream_ends_at_once_without_another_server(self):
+        """Its caller waited for 2 s for servers that had all been tried."""
+        now_s = monotonic_s()
+        demand = build_demand(
+            is_started=True,
+            excluded=frozenset({self.backend.name}),
+            target_s=now_s,
+            deadline_at_s=now_s + 15.0,
+        )
+        with self.assertRaises(AzurewickError) as caught:
+            await self.dispatcher.async_acquire(demand)
+        self.assertIn("no other server", str(caught.exception))
