--- a/review/parts/replica.py
+++ b/review/parts/replica.py
@@ -7,6 +7,8 @@
 from asyncio import StreamReader
 from asyncio import StreamWriter
 from dataclasses import dataclass
+import socket
+import struct
 from time import monotonic
 from time import time
 
@@ -57,6 +59,7 @@
         self.reads_body = True
         self._extra = extra or {}
         self._store = store
+        self._writers: set[StreamWriter] = set()
         self._seq = 0
         self._born = int(time() * 1000)
         self._server: asyncio.Server | None = None
@@ -71,6 +74,29 @@
         self.address = f"127.0.0.1:{port}"
         self.register()
 
+    def crash(self) -> None:
+        """Reset all connections and refuse new ones; the entry stays."""
+        assert self._server is not None
+        self._server.close()
+        for writer in tuple(self._writers):
+            connection = writer.get_extra_info("socket")
+            if connection is not None and not writer.is_closing():
+                connection.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+                writer.transport.abort()
+
+    async def restart(self) -> None:
+        """Start again under the same id and address, as another boot."""
+        host, _, port = self.address.partition(":")
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port), limit=2**22
+        )
+        self._born = int(time() * 1000)
+        self.register()
+
     def register(self, state: str = "ready") -> None:
         """Write the entry of this server."""
         self._seq += 1
@@ -92,7 +118,7 @@
         )
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
-        self.open += 1
+        self._writers.add(writer)
         try:
             while head := await read_head(reader):
                 if not head.target.startswith("/healthz"):
@@ -111,7 +137,7 @@
         except (ConnectionError, BrokenMessageError, CancelledError):
             pass
         finally:
-            self.open -= 1
+            self._writers.discard(writer)
             writer.close()
 
     async def answer(
