--- a/review/parts/replica.py
+++ b/review/parts/replica.py
@@ -89,11 +89,21 @@
                 writer.transport.abort()
 
     async def restart(self) -> None:
-        """Start again under the same id and address, as another boot."""
+        """Start again under the same id, as another boot.
+
+        It gets another port if its own is in use meanwhile.
+        """
         host, _, port = self.address.partition(":")
-        self._server = await asyncio.start_server(
-            self._serve, host, int(port), limit=2**22
-        )
+        try:
+            self._server = await asyncio.start_server(
+                self._serve, host, int(port), limit=2**22
+            )
+        except OSError:
+            self._server = await asyncio.start_server(
+                self._serve, host, 0, limit=2**22
+            )
+            port = self._server.sockets[0].getsockname()[1]
+            self.address = f"{host}:{port}"
         self._born = int(time() * 1000)
         self.register()
 
